--- a/harelatch/policy.py
+++ b/petrelhall/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of a harelatch gateway. Its settings, events and actions: harelatch/interface.py."""
+"""Every decision of a petrelhall gateway. Its settings, events and actions: petrelhall/interface.py."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 import statistics
 import zlib
 
-from harelatch import gossip
-from harelatch import interface as api
-from harelatch.correlation import significant
-from harelatch.interface import Effect, Ending
-from harelatch.state import Customer, Job, Link, Memory, faded
+from petrelhall import gossip
+from petrelhall import interface as api
+from petrelhall.correlation import significant
+from petrelhall.interface import Effect, Ending
+from petrelhall.state import Customer, Job, Link, Memory, faded
 
 # Correlation and cut
 INTERVAL_MS, STALL_MS = 1000.0, 200.0  # ms; the paper's interval; its end so late, we have stood still
--- a/harelatch/wirehost.py
+++ b/petrelhall/wirehost.py
@@ -10,8 +10,8 @@
 import traceback
 from typing import Any, TextIO
 
-from harelatch import interface as api
-from harelatch.policy import Gateway
+from petrelhall import interface as api
+from petrelhall.policy import Gateway
 
 EFFECTS = {
     "repeatable": api.Effect.REPEATABLE,
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from harelatch import policy
-from harelatch.correlation import critical_t, t_statistic
-from harelatch.interface import (
+from petrelhall import policy
+from petrelhall.correlation import critical_t, t_statistic
+from petrelhall.interface import (
     Action,
     Alarm,
     Arrival,
@@ -34,8 +34,8 @@
     Started,
     Tell,
 )
-from harelatch.policy import Gateway
-from harelatch.state import Customer
+from petrelhall.policy import Gateway
+from petrelhall.state import Customer
 
 SETTINGS = Settings(
     classes=(
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -23,7 +23,7 @@
 
 def converse(*lines: str) -> tuple[list[list[list[Any]]], str]:
     """Run the process on some lines; its replies and what it wrote on standard error."""
-    run = subprocess.run([sys.executable, "-m", "harelatch.wirehost"], input="\n".join(lines) + "\n",
+    run = subprocess.run([sys.executable, "-m", "petrelhall.wirehost"], input="\n".join(lines) + "\n",
                          capture_output=True, text=True, timeout=60, check=True)
     return [json.loads(line)["outbox"] for line in run.stdout.splitlines()], run.stderr
 
