--- /dev/null
+++ b/petrelhall/net/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway on sockets."""
