--- /dev/null
+++ b/petrelhall/net/stream.py
@@ -0,0 +1,153 @@
+"""Bytes over TCP without blocking: what has come in, what is still to go out, and whether it is over."""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+from collections.abc import Callable
+
+from petrelhall.net.loop import Loop
+
+CHUNK = 65536
+MOST_UNREAD = 262144  # bytes kept for a reader that is busy; the kernel holds the rest
+IN = select.EPOLLIN | select.EPOLLRDHUP
+
+Address = tuple[str, int]
+
+
+class Stream:
+    """One connection. ``notify`` is called whenever something about it has changed."""
+
+    __slots__ = ("loop", "sock", "fd", "notify", "connecting", "ended", "error", "incoming", "outgoing", "mask")
+
+    def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object], connecting: bool = False):
+        self.loop, self.sock, self.fd, self.notify = loop, sock, sock.fileno(), notify
+        self.connecting, self.ended, self.error = connecting, False, 0
+        self.incoming, self.outgoing = bytearray(), bytearray()
+        self.mask = select.EPOLLOUT if connecting else IN
+        loop.register(self.fd, self.mask, self.on_ready)
+
+    def on_ready(self, mask: int) -> None:
+        """Take in and send what can be, and tell the owner."""
+        if self.connecting:
+            error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                self.end(error)
+            else:
+                self.connecting = False
+                self.flush()
+        else:
+            if mask & select.EPOLLOUT:
+                self.flush()
+            if mask & ~select.EPOLLOUT:
+                self.receive()
+        self.notify()
+
+    def receive(self) -> None:
+        """Read what has come, once."""
+        if self.ended or self.connecting or len(self.incoming) > MOST_UNREAD:
+            return self.watch()
+        try:
+            data = self.sock.recv(CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            return self.end(error.errno or errno.EIO)
+        if not data:
+            return self.end(0)
+        self.incoming += data
+        if len(self.incoming) > MOST_UNREAD:
+            self.watch()
+
+    def take(self) -> bytes:
+        """Give all bytes that have come and were not taken yet."""
+        data = bytes(self.incoming)
+        self.incoming.clear()
+        self.watch()
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Send as much as goes at once and keep the rest for later."""
+        if not self.ended:
+            self.outgoing += data
+            if not self.connecting:
+                self.flush()
+
+    def flush(self) -> None:
+        """Send what waits."""
+        while self.outgoing and not self.ended:
+            try:
+                sent = self.sock.send(self.outgoing)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError as error:
+                return self.end(error.errno or errno.EIO)
+            del self.outgoing[:sent]
+        self.watch()
+
+    def watch(self) -> None:
+        """Watch for what is wanted, and nothing else."""
+        if self.ended:
+            return
+        mask = 0 if len(self.incoming) > MOST_UNREAD else IN
+        mask |= select.EPOLLOUT if self.outgoing or self.connecting else 0
+        if mask != self.mask:
+            self.mask = mask
+            self.loop.modify(self.fd, mask)
+
+    def end(self, error: int) -> None:
+        """Note that the other side is gone; a descriptor in that state would be ready without end."""
+        self.ended, self.error = True, error
+        self.loop.unregister(self.fd)
+
+    def alive(self) -> bool:
+        """Look at the socket itself whether the other side has closed or sent something: epoll may lag."""
+        if self.ended or self.incoming:
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
+
+    def finish_sending(self) -> None:
+        """Tell the other side that nothing more comes."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass  # it has gone by itself
+
+    def close(self) -> None:
+        """Close at once, whatever waits."""
+        self.ended = True
+        self.loop.unregister(self.fd)
+        self.sock.close()
+
+
+def connect(loop: Loop, address: Address, notify: Callable[[], object]) -> Stream | OSError:
+    """Begin to connect; the error, where it fails at once, is a value."""
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+    except OSError as error:  # no descriptors left
+        return error
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            return OSError(code, "cannot connect")
+        return Stream(loop, sock, notify, connecting=True)
+    except OSError as error:
+        sock.close()
+        return error
+
+
+def parse_address(text: str) -> Address:
+    """Read host:port."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
