--- /dev/null
+++ b/petrelhall/__main__.py
@@ -0,0 +1,118 @@
+"""The gateway program: reads its configuration, puts the parts together, and minds signals."""
+
+from __future__ import annotations
+
+import gc
+import os
+import resource
+import signal
+import socket
+import sys
+
+from petrelhall import interface as api
+from petrelhall.net.config import Config, ConfigError, load
+from petrelhall.net.counter import CounterClient
+from petrelhall.net.counts import Counts
+from petrelhall.net.discovery import Watch
+from petrelhall.net.dispatch import Dispatcher
+from petrelhall.net.fleet import Fleet
+from petrelhall.net.front import Front
+from petrelhall.net.log import Log
+from petrelhall.net.loop import Loop
+from petrelhall.net.peers import Peers
+from petrelhall.net.platform import Platform
+from petrelhall.net.pool import Pool
+from petrelhall.net.requests import Desk
+from petrelhall.policy import Gateway
+
+OWN_SOCKETS = 40  # descriptors for all but clients and servers, with some to spare
+CLIENT_SHARE = 0.6  # of the other descriptors
+
+
+class Program:
+    """One gateway, from its configuration to its exit."""
+
+    def __init__(self, config: Config, log: Log) -> None:
+        self.config, self.log = config, log
+        self.loop, self.counts, self.fleet = Loop(log), Counts(), Fleet(config.areas)
+        settings = config.settings
+        self.dispatcher = Dispatcher(self.loop, Gateway(settings, config.seed), self.counts, log)
+        platform = Platform(settings, config.classes, config.plans)
+        room = max(20, min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS)
+        clients = int(CLIENT_SHARE * room)
+        pool = Pool(self.loop, self.fleet, platform, self.counts, room - clients, config.conn_idle_ms,
+                    config.connect_timeout_ms)
+        desk = Desk(self.loop, self.dispatcher.tell, pool, self.counts, settings.max_retry_after_ms)
+        self.dispatcher.to_request = desk.give
+        self.join_others()
+        self.dispatcher.tell(api.Started())
+        self.start_list()
+        self.front = Front(self.loop, config.listen, platform, desk, lambda: bool(self.fleet.addresses),
+                           self.counts, log, clients)
+        self.front.on_empty = self.loop.stop
+        self.stopping = False
+
+    def join_others(self) -> None:
+        """Open the ways to the other gateways that the configuration names."""
+        config, tell = self.config, self.dispatcher.tell
+        if config.settings.peers and config.peer_listen and config.peers_all:
+            peers = Peers(self.loop, config.peer_listen, config.peers, config.peers_all,
+                          config.settings.position, tell, self.counts)
+            self.dispatcher.to_peers = peers.send
+        if config.settings.counter and config.counter:
+            wait_ms = config.settings.counter_wait_ms
+            counter = CounterClient(self.loop, config.counter, wait_ms, tell, self.counts)
+            self.dispatcher.to_counter = counter.add
+
+    def start_list(self) -> None:
+        """Begin with the list that this gateway last had, then follow discovery."""
+        try:
+            if self.config.known is not None:
+                self.dispatcher.tell(self.fleet.take(self.config.known, "cached"))
+        except (ValueError, TypeError) as error:
+            raise ConfigError(f"config.known: {error}") from error
+        watch = Watch(self.loop, self.config.discovery, self.fleet, self.dispatcher.tell, self.counts,
+                      self.log)
+        self.loop.spawn(watch.follow())
+
+    def run(self) -> None:
+        """Serve until told to end."""
+        wake, woken = socket.socketpair()
+        for end in (wake, woken):
+            end.setblocking(False)
+        signal.set_wakeup_fd(woken.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+            signal.signal(number, lambda *_: None)  # the loop reads the number from the wake-up socket
+        self.loop.register(wake.fileno(), 1, lambda mask: self.on_signals(wake.recv(64)))
+        gc.collect()
+        gc.freeze()  # what is here now stays: no collection needs to look at it again
+        self.loop.run()
+        self.log.write(str(self.counts))
+
+    def on_signals(self, numbers: bytes) -> None:
+        """Print the counters, or begin the end."""
+        for number in numbers:
+            if number == signal.SIGUSR1:
+                self.log.write(str(self.counts))
+            elif not self.stopping:
+                self.stopping = True
+                self.front.stop()
+
+
+def main() -> int:
+    """Run one gateway."""
+    log = Log()
+    try:
+        program = Program(load(os.environ), log)
+    except ConfigError as error:
+        print(f"petrelhall: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"petrelhall: cannot start: {error}", file=sys.stderr)
+        return 1
+    program.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/petrelhall/net/discovery.py
@@ -0,0 +1,90 @@
+"""Follows discovery: one list at the start, then a watch that is asked again at once after each answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import ujson
+
+from petrelhall import interface as api
+from petrelhall.net.counts import Counts
+from petrelhall.net.fleet import Fleet
+from petrelhall.net.http1 import Broken, ClientSide, Reply
+from petrelhall.net.loop import Loop, Steps, now_ms
+from petrelhall.net.stream import Address, connect
+
+WAIT_MS = 20000  # how long discovery may hold a watch
+LATE_MS = 1500.0  # after which an answer that is due counts as lost with its connection
+CONNECT_MS = 1000.0
+PAUSE_MS = 100.0  # before asking anew after a failure: a watch goes on if asked within 200 ms
+MOST_LIST = 4 * 1024 * 1024
+
+
+class Watch:
+    """Keeps the fleet and the module up to date."""
+
+    def __init__(self, loop: Loop, address: Address, fleet: Fleet, tell: Callable[[api.ServerList], None],
+                 counts: Counts, log: Callable[[str], None]) -> None:
+        self.loop, self.address, self.fleet, self.tell = loop, address, fleet, tell
+        self.counts, self.log = counts, log
+        self.listed = False  # whether discovery has answered since the start
+
+    def follow(self) -> Steps[None]:
+        """Ask for ever; whatever goes wrong on one connection, the next one goes on from the version held."""
+        while True:
+            reason = yield from self.converse()
+            self.counts.add("discovery", "breaks")
+            if self.counts.get("discovery", "breaks") in (1, 10, 100, 1000):
+                self.log(f"discovery: {reason}; asking again")
+            yield from self.loop.sleep(PAUSE_MS)
+
+    def converse(self) -> Steps[str]:
+        """Use one connection for as long as it serves, and give the reason why it does no more."""
+        stream = connect(self.loop, self.address, self.loop.this_task().wake)
+        if isinstance(stream, OSError):
+            return f"cannot connect: {stream}"
+        timers = []
+        try:
+            until = now_ms() + CONNECT_MS
+            timers.append(self.loop.at(until, self.loop.this_task().wake))
+            while stream.connecting and not stream.ended and now_ms() < until:
+                yield
+            if stream.connecting or stream.ended:
+                return "cannot connect"
+            http = ClientSide(stream)
+            while True:
+                watching = self.listed
+                query = f"?after={self.fleet.version}&wait_ms={WAIT_MS}" if watching else ""
+                http.ask(b"GET", f"/v1/servers{query}".encode(), [(b"Host", b"discovery")])
+                until = now_ms() + LATE_MS + WAIT_MS * watching
+                timers.append(self.loop.at(until, self.loop.this_task().wake))
+                while (reply := http.reply(MOST_LIST)) is None and now_ms() < until:
+                    yield
+                timers.pop().cancel()
+                failure = self.take(reply)
+                if failure:
+                    return failure
+                if not http.again():
+                    return "connection closed"
+        finally:
+            for timer in timers:
+                timer.cancel()
+            stream.close()
+
+    def take(self, reply: Reply | Broken | None) -> str:
+        """Use an answer; give what was wrong with it, if anything was."""
+        if reply is None:
+            return "no answer in time"
+        if isinstance(reply, Broken):
+            return reply.reason
+        if reply.status != 200:
+            return f"status {reply.status}"
+        try:
+            news = self.fleet.take(ujson.loads(reply.body))
+        except (ValueError, TypeError, OverflowError) as error:
+            return f"unusable list: {error}"
+        self.listed = True
+        self.counts.add("discovery", news.kind)
+        if news.kind == "full" or news.servers:
+            self.tell(news)
+        return ""
--- /dev/null
+++ b/petrelhall/net/fleet.py
@@ -0,0 +1,65 @@
+"""The servers as discovery lists them, and how discovery's lines become the module's."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from petrelhall import interface as api
+from petrelhall.net.stream import Address, parse_address
+
+PHASES = {"Ready": "healthy", "Terminating": "cordoned", "Gone": "deregistered"}
+
+
+class Fleet:
+    """Where each server is, by id: the module knows servers by id, since addresses may vary and change."""
+
+    def __init__(self, areas: tuple[str, ...]) -> None:
+        self.areas = {name: index for index, name in enumerate(areas)}
+        self.version = 0
+        self.addresses: dict[str, Address] = {}
+        self.healthy: set[str] = set()
+
+    def take(self, listing: Any, kind: str | None = None) -> api.ServerList:
+        """Take in an answer of discovery, all or nothing (ValueError), and give it in the module's terms.
+
+        ``kind`` overrides what the answer says of itself: the list handed over at the start is ``cached``.
+        """
+        if not isinstance(listing, dict) or not isinstance(listing.get("servers"), list):
+            raise ValueError("not a list of servers")
+        version, kind = int(listing.get("version") or 0), kind or ("full" if listing.get("full") else "delta")
+        read = [self.line(entry) for entry in listing["servers"]]
+        if kind != "delta":
+            self.addresses, self.healthy = {}, set()
+        for server, address in read:
+            self.healthy.discard(server.address)
+            if server.phase == "deregistered":
+                self.addresses.pop(server.address, None)
+                continue
+            self.addresses[server.address] = address
+            if server.phase == "healthy":
+                self.healthy.add(server.address)
+        self.version = version
+        # A full list holds whoever is there: the module drops those that it does not name by itself, and
+        # knows Gone among changes only.
+        lines = tuple(server for server, _ in read if kind == "delta" or server.phase != "deregistered")
+        return api.ServerList(kind, lines)
+
+    def line(self, entry: Any) -> tuple[api.Server, Address]:
+        """Read one server."""
+        if not isinstance(entry, dict) or not isinstance(entry.get("id"), str) or not entry["id"]:
+            raise ValueError("a server without an id")
+        phase = PHASES.get(str(entry.get("state")))
+        if phase is None:
+            raise ValueError(f"unknown state {entry.get('state')!r}")
+        gone = phase == "deregistered"
+        address = ("", 0) if gone and not entry.get("addr") else parse_address(str(entry.get("addr")))
+        weight = entry.get("weight")
+        server = api.Server(
+            entry["id"], self.zone(entry.get("zone")), int(entry.get("cell") or 0), phase,
+            1.0 if weight is None else float(weight), float(entry.get("started_ms") or 0.0),
+        )
+        return server, address
+
+    def zone(self, name: Any) -> int:
+        """Give a zone's number; one that the settings do not know is nobody's own."""
+        return self.areas.get(str(name), -1)
--- /dev/null
+++ b/petrelhall/net/http1.py
@@ -0,0 +1,161 @@
+"""HTTP/1.1 on a stream, both sides of it. h11 does the parsing; nothing here knows the platform's headers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import h11
+
+from petrelhall.net.stream import Stream
+
+MOST_BODY = 65536
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """A whole request; the names of its headers are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The other side said something that cannot be used; ``status`` is what a client is to be told."""
+
+    status: int
+    reason: str
+
+
+class ServerSide:
+    """The side that takes requests, one at a time."""
+
+    __slots__ = ("stream", "http", "asked", "body")
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream, self.http = stream, h11.Connection(h11.SERVER)
+        self.asked: h11.Request | None = None
+        self.body = bytearray()
+
+    def request(self) -> Message | Broken | None:
+        """Give the next request once it is whole."""
+        if self.stream.incoming:
+            self.http.receive_data(self.stream.take())
+        try:
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    self.encourage()
+                    return None
+                if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                    return None
+                if isinstance(event, h11.Request):
+                    self.asked = event
+                    self.body.clear()
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                    if len(self.body) > MOST_BODY:
+                        return Broken(413, "body too large")
+                elif isinstance(event, h11.EndOfMessage) and self.asked is not None:
+                    asked, self.asked = self.asked, None
+                    return Message(asked.method, asked.target, dict(asked.headers), bytes(self.body))
+        except h11.RemoteProtocolError as error:
+            return Broken(error.error_status_hint, str(error))
+
+    def encourage(self) -> None:
+        """Let a client go on that waits for leave to send its body."""
+        if self.http.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    @property
+    def begun(self) -> bool:
+        """Tell whether a part of a request has come."""
+        return bool(self.stream.incoming or self.asked or self.http.trailing_data[0])
+
+    def answer(self, status: int, headers: Headers, body: bytes, last: bool) -> bool:
+        """Write a whole answer and tell whether the connection can carry another request."""
+        fields = [*headers, (b"Content-Length", b"%d" % len(body))]
+        if last:
+            fields.append((b"Connection", b"close"))
+        try:
+            data = self.http.send(h11.Response(status_code=status, headers=fields)) or b""
+            if body:
+                data += self.http.send(h11.Data(data=body)) or b""
+            data += self.http.send(h11.EndOfMessage()) or b""
+        except h11.LocalProtocolError:
+            return False
+        self.stream.write(data)
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+            return True
+        return False
+
+    def send(self, event: h11.InformationalResponse) -> None:
+        """Write something that is no answer yet."""
+        self.stream.write(self.http.send(event) or b"")
+
+
+class ClientSide:
+    """The side that asks, one request at a time."""
+
+    __slots__ = ("stream", "http", "head", "body")
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream, self.http = stream, h11.Connection(h11.CLIENT)
+        self.head: h11.Response | None = None
+        self.body = bytearray()
+
+    def ask(self, method: bytes, target: bytes, headers: Headers, body: bytes = b"") -> None:
+        """Write a request."""
+        data = self.http.send(h11.Request(method=method, target=target, headers=headers)) or b""
+        if body:
+            data += self.http.send(h11.Data(data=body)) or b""
+        data += self.http.send(h11.EndOfMessage()) or b""
+        self.stream.write(data)
+
+    def reply(self, most: int = MOST_BODY) -> Reply | Broken | None:
+        """Give the answer once it is whole; what comes of half an answer is broken, never served."""
+        if self.stream.incoming:
+            self.http.receive_data(self.stream.take())
+        try:
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    if not self.stream.ended:
+                        return None
+                    self.http.receive_data(b"")  # the end may be what closes a body without a length
+                elif isinstance(event, h11.Response):
+                    self.head = event
+                    self.body.clear()
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                    if len(self.body) > most:
+                        return Broken(502, "answer too large")
+                elif isinstance(event, h11.EndOfMessage) and self.head is not None:
+                    head, self.head = self.head, None
+                    return Reply(head.status_code, dict(head.headers), bytes(self.body))
+                elif not isinstance(event, h11.InformationalResponse):
+                    return Broken(502, "no answer")
+        except h11.RemoteProtocolError as error:
+            return Broken(502, str(error))
+
+    def again(self) -> bool:
+        """Make ready for the next request; False where this connection cannot carry one."""
+        if self.stream.ended or self.stream.incoming or self.http.trailing_data[0]:
+            return False
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            return False
+        self.http.start_next_cycle()
+        return True
--- a/petrelhall/net/loop.py
+++ b/petrelhall/net/loop.py
@@ -132,7 +132,7 @@
         self.running = False
 
     def turn(self) -> None:
-        """Wait for whatever comes first; sockets before timers, so what has come in time counts as in time."""
+        """Wait for whatever comes first; sockets before timers: what has come in time counts as in time."""
         for fd, mask in self.epoll.poll(self.patience()):
             handler = self.handlers.get(fd)
             if handler is not None:
--- /dev/null
+++ b/petrelhall/net/peers.py
@@ -0,0 +1,55 @@
+"""Datagrams to and from the other gateways of the tier."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Callable
+
+from petrelhall import interface as api
+from petrelhall.net.counts import Counts
+from petrelhall.net.loop import Loop
+from petrelhall.net.stream import NEW_SOCKET, Address
+
+MOST = 256  # bytes in a datagram
+AT_ONCE = 64  # datagrams read in one turn
+
+
+class Peers:
+    """One socket for both ways: the others tell a sender by its address."""
+
+    def __init__(self, loop: Loop, own: Address, peers: tuple[Address, ...], everyone: Address, position: int,
+                 tell: Callable[[api.PeerMessage], None], counts: Counts) -> None:
+        self.numbers = {peer: number for number, peer in enumerate(peers) if number != position}
+        self.everyone, self.tell, self.counts = everyone, tell, counts
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | NEW_SOCKET)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(own)
+        loop.register(self.sock.fileno(), select.EPOLLIN, self.on_ready)
+
+    def send(self, content: bytes) -> None:
+        """Tell all others; a datagram that cannot go now is lost, as any may be."""
+        if len(content) > MOST:  # one byte more would break a rule of the platform
+            self.counts.add("peers", "too_long")
+            return
+        try:
+            self.sock.sendto(content, self.everyone)
+            self.counts.add("peers", "sent")
+        except OSError:
+            self.counts.add("peers", "unsent")
+
+    def on_ready(self, mask: int) -> None:
+        """Pass on what known peers say and drop the rest."""
+        for _ in range(AT_ONCE):
+            try:
+                content, sender = self.sock.recvfrom(MOST + 1)
+            except BlockingIOError:
+                return
+            except OSError:  # such as an earlier datagram that found nobody
+                continue
+            number = self.numbers.get(sender)
+            if number is None or len(content) > MOST:
+                self.counts.add("peers", "dropped")
+                continue
+            self.counts.add("peers", "received")
+            self.tell(api.PeerMessage(number, content))
--- /dev/null
+++ b/petrelhall/net/platform.py
@@ -0,0 +1,149 @@
+"""The platform's own words: headers, query, deadlines and load reports, put over HTTP/1.1 messages."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from urllib.parse import parse_qsl
+
+from petrelhall import interface as api
+from petrelhall.interface import Ending
+from petrelhall.net.http1 import Broken, Headers, Message, Reply
+from petrelhall.net.pool import Verdict
+from petrelhall.net.requests import Answer, Failed, Refused, Request, Served
+
+PATH, READY = b"/api", b"/healthz"
+DEADLINE = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])", re.ASCII)
+CUSTOMER = re.compile(r"[0-9a-fA-F]{16}", re.ASCII)
+MOST_CUSTOMERS = 2**33
+EARLY_MS = 15.0  # a deadline counts from the client's send: the way here, the way back and our own turn
+# Names of load figures on the sockets, and in the settings.
+FIGURES = {"inflight": "rif", "queue": "q", "util": "busy", "latency_ms": "lat_ms", "qps": "rate",
+           "eps": "fail_rate"}
+REASONS = {400: b"bad request", 404: b"not found", 413: b"body too large"}
+
+
+class Refusal(ValueError):
+    """A request that is not in the platform's form."""
+
+
+@dataclass(frozen=True, slots=True)
+class Spoken:
+    """A request's message and what of its headers goes on to servers."""
+
+    message: Message
+    headers: Headers
+
+
+class Platform:
+    """Reads and words messages for one set of settings."""
+
+    def __init__(self, settings: api.Settings, classes: tuple[str, ...], plans: tuple[str, ...]) -> None:
+        self.settings = settings
+        self.classes = {name.encode(): index for index, name in enumerate(classes)}
+        self.plans = {name.encode(): index for index, name in enumerate(plans)}
+        self.figures = frozenset(settings.report_names)
+
+    # Clients
+
+    def request(self, message: Message) -> Request | Broken:
+        """Read a client's request; one that is not in the platform's form goes no further."""
+        path, _, query = message.target.partition(b"?")
+        if path != PATH and not path.startswith(PATH + b"/"):
+            return Broken(404, "unknown path")
+        headers = message.headers
+        try:
+            index = self.classes.get(headers.get(b"x-class", b""))
+            plan = self.plans.get(headers.get(b"x-contract", b""))
+            if index is None or plan is None:
+                raise Refusal("X-Class or X-Contract missing or unknown")
+            if not headers.get(b"x-request-id"):
+                raise Refusal("X-Request-Id missing")
+            keyed = self.settings.classes[index].effect is api.Effect.KEYED
+            if keyed and not headers.get(b"idempotency-key"):
+                raise Refusal("Idempotency-Key missing")
+            units, spread = self.metering(headers.get(b"x-metering", b""))
+            return Request(
+                index, plan, customer(query), deadline(headers.get(b"x-deadline", b"")), units, spread,
+                headers.get(b"x-retry") == b"1", Spoken(message, passed_on(headers)),
+            )
+        except Refusal as error:
+            return Broken(400, str(error))
+
+    def metering(self, value: bytes) -> tuple[float, int]:
+        """Read the units and the size of the customer's set."""
+        fields = dict(part.strip().partition(b"=")[::2] for part in value.split(b","))
+        try:
+            units = float(fields[b"units"])
+            spread, first = int(fields[b"spread"]), int(fields[b"first"])
+        except (KeyError, ValueError):
+            raise Refusal("X-Metering missing or malformed") from None
+        gateways, largest = self.settings.gateways, self.settings.largest_units
+        if not (0.0 < units <= largest and 0 < spread <= gateways and 0 <= first < gateways):
+            raise Refusal("X-Metering out of range")
+        return units, spread
+
+    def answer(self, answer: Answer | Broken) -> tuple[int, Headers, bytes]:
+        """Word an answer to a client."""
+        if isinstance(answer, Served):
+            return 200, [(b"Content-Type", b"application/octet-stream")], answer.body
+        if isinstance(answer, Refused):
+            return 429, [(b"Retry-After", b"%.3f" % (answer.retry_after_ms / 1000.0))], b"try again later\n"
+        if isinstance(answer, Failed):
+            return 502, [], answer.reason.encode() + b"\n"
+        return answer.status, [], REASONS.get(answer.status, b"bad request") + b"\n"
+
+    # Servers
+
+    def outgoing(self, message: Spoken, wait_ms: float) -> tuple[bytes, bytes, Headers, bytes]:
+        """Word an attempt: all that the client sent unchanged, and how long we wait."""
+        asked = message.message
+        headers = [*message.headers, (b"X-Deadline", b"%dm" % max(1, int(wait_ms)))]
+        return asked.method, asked.target, headers, asked.body
+
+    def verdict(self, reply: Reply) -> Verdict:
+        """Read a server's answer; only its own word that the request did not run is proof of that."""
+        report = self.report(reply.headers.get(b"x-load", b""))
+        if reply.status == 200:
+            return Verdict(Ending.OK, report)
+        if reply.status in (503, 504) and reply.headers.get(b"x-not-run") == b"1":
+            return Verdict(Ending.FULL, report)
+        return Verdict(Ending.ERROR, report)
+
+    def report(self, value: bytes) -> dict[str, float]:
+        """Read a load report: a word, then fields; those that the settings do not name are passed over."""
+        report = {}
+        for part in value.decode("latin-1").replace(",", " ").split():
+            name, equals, number = part.partition("=")
+            name = FIGURES.get(name, name)
+            if equals and name in self.figures:
+                try:
+                    report[name] = float(number)
+                except ValueError:
+                    continue
+        return report
+
+
+def customer(query: bytes) -> str:
+    """Read the customer out of the query."""
+    named = [value for name, value in parse_qsl(query.decode("latin-1")) if name == "client"]
+    if len(named) != 1 or not CUSTOMER.fullmatch(named[0]) or int(named[0], 16) >= MOST_CUSTOMERS:
+        raise Refusal("client missing or malformed")
+    return named[0].lower()
+
+
+def deadline(value: bytes) -> float:
+    """Read a deadline and give the milliseconds that we have."""
+    read = DEADLINE.fullmatch(value.strip())
+    if read is None:
+        raise Refusal("X-Deadline missing or malformed")
+    left = float(read[1]) / (1000.0 if read[2] == b"u" else 1.0)
+    if left <= 0.0:
+        raise Refusal("X-Deadline must be above 0")
+    return max(1.0, left - EARLY_MS)
+
+
+def passed_on(headers: dict[bytes, bytes]) -> Headers:
+    """Give the headers that go on to a server."""
+    names = (b"host", b"x-request-id", b"idempotency-key", b"content-type", b"content-length")
+    return [(name.title(), headers[name]) for name in names if name in headers]
--- /dev/null
+++ b/petrelhall/net/pool.py
@@ -0,0 +1,209 @@
+"""Connections to servers, and the attempts made on them."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from petrelhall.interface import Ending
+from petrelhall.net.counts import Counts
+from petrelhall.net.fleet import Fleet
+from petrelhall.net.http1 import Broken, ClientSide, Headers, Reply
+from petrelhall.net.loop import Loop, Steps, Timer, now_ms
+from petrelhall.net.requests import Reach, Result
+from petrelhall.net.stream import Address, connect
+
+IDLE_SHARE = 0.8  # of a server's patience with an idle connection that is used
+MOST_PER_SERVER = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a whole answer means."""
+
+    ending: Ending
+    report: Mapping[str, float]
+    used: float | None = None
+
+
+class Wording(Protocol):
+    """The platform's way to put an attempt."""
+
+    def outgoing(self, message: Any, wait_ms: float) -> tuple[bytes, bytes, Headers, bytes]:
+        """Give method, target, headers and body."""
+
+    def verdict(self, reply: Reply) -> Verdict:
+        """Read an answer."""
+
+
+class Connection:
+    """One connection to a server."""
+
+    __slots__ = ("server", "address", "http", "idle_since")
+
+    def __init__(self, server: str, address: Address, http: ClientSide) -> None:
+        self.server, self.address, self.http, self.idle_since = server, address, http, 0.0
+
+    def close(self) -> None:
+        """Close it at once."""
+        self.http.stream.close()
+
+
+class Pool:
+    """Keeps connections that are idle and makes new ones, within bounds."""
+
+    def __init__(self, loop: Loop, fleet: Fleet, wording: Wording, counts: Counts, most: int, idle_ms: float,
+                 connect_ms: float) -> None:
+        self.loop, self.fleet, self.wording, self.counts = loop, fleet, wording, counts
+        self.most, self.connect_ms, self.idle_ms = most, connect_ms, IDLE_SHARE * idle_ms
+        self.idle: dict[str, deque[Connection]] = {}
+        self.open = 0
+        self.by_server: dict[str, int] = {}
+        loop.after(1000.0, self.sweep)
+
+    # Attempts
+
+    def attempt(self, server: str, message: Any, until: float, stopped: Callable[[], bool]) -> Steps[Result]:
+        """Make one attempt that ends by its time; it is over on the wire when this gives its result."""
+        if now_ms() >= until:
+            return Result(Ending.TIMEOUT, Reach.UNWRITTEN, "no time left")
+        connection = self.take(server)
+        if isinstance(connection, Result):
+            return connection
+        stream = connection.http.stream
+        stream.notify = self.loop.this_task().wake
+        timers = [self.loop.at(until, stream.notify)]
+        keep = False
+        try:
+            if stream.connecting:
+                failed = yield from self.connected(connection, until, timers, stopped)
+                if failed is not None:
+                    return failed
+            # What was decided before discovery told that the server drains must not be written after: the
+            # rule on drains counts from the telling, and connecting may have taken a while.
+            if server not in self.fleet.healthy:
+                return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "drained before it was sent")
+            connection.http.ask(*self.wording.outgoing(message, until - now_ms()))
+            result = yield from self.answered(connection, until, stopped)
+            keep = result.reach is Reach.ANSWERED and connection.http.again()
+            return result
+        finally:
+            for timer in timers:
+                timer.cancel()
+            self.release(connection, keep)
+
+    def connected(self, connection: Connection, until: float, timers: list[Timer],
+                  stopped: Callable[[], bool]) -> Steps[Result | None]:
+        """Wait for a new connection to come up; nothing is written before it has."""
+        stream = connection.http.stream
+        latest = now_ms() + self.connect_ms
+        timers.append(self.loop.at(latest, stream.notify))
+        while stream.connecting and not stream.ended:
+            if stopped():
+                return Result(Ending.CANCELLED, Reach.UNWRITTEN, "called off")
+            if now_ms() >= until:
+                return Result(Ending.TIMEOUT, Reach.UNWRITTEN, "no time left to connect")
+            if now_ms() >= latest:
+                return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "connection did not come up")
+            yield
+        if stream.ended:
+            return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, f"connection refused ({stream.error})")
+        return None
+
+    def answered(self, connection: Connection, until: float, stopped: Callable[[], bool]) -> Steps[Result]:
+        """Wait for the answer; it counts only when it is whole."""
+        http, stream = connection.http, connection.http.stream
+        while True:
+            reply = http.reply()
+            reach = Reach.UNWRITTEN if stream.outgoing else Reach.WRITTEN
+            if isinstance(reply, Reply):
+                verdict = self.wording.verdict(reply)
+                return Result(verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply.body,
+                              verdict.report, verdict.used)
+            if isinstance(reply, Broken) or stream.ended:
+                # A connection that breaks before the last byte is written proves that nothing ran.
+                ending = Ending.RESET if reach else Ending.CONNECT_FAILED
+                return Result(ending, reach, reply.reason if reply else f"broken ({stream.error})")
+            if stopped():
+                return Result(Ending.CANCELLED, reach, "called off")
+            if now_ms() >= until:
+                return Result(Ending.TIMEOUT, reach, "no answer in time")
+            yield
+
+    # Connections
+
+    def take(self, server: str) -> Connection | Result:
+        """Give an idle connection, the one used last, or begin a new one."""
+        address = self.fleet.addresses.get(server)
+        if address is None or server not in self.fleet.healthy:
+            return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "not in the list")
+        idle = self.idle.get(server)
+        while idle:
+            connection = idle.pop()
+            # The server may have closed it since epoll was last asked: what is written to a connection
+            # closed by the other side would end as a reset, which may have run.
+            if connection.address == address and connection.http.stream.alive():
+                return connection
+            self.drop(connection)
+        if self.open >= self.most:
+            self.evict()
+        if self.open >= self.most or self.by_server.get(server, 0) >= MOST_PER_SERVER:
+            return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "too many connections")
+        stream = connect(self.loop, address, self.loop.this_task().wake)
+        if isinstance(stream, OSError):
+            return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, str(stream))
+        self.open += 1
+        self.by_server[server] = self.by_server.get(server, 0) + 1
+        self.counts.add("connections", "to_servers")
+        return Connection(server, address, ClientSide(stream))
+
+    def release(self, connection: Connection, keep: bool) -> None:
+        """Keep a connection for the next attempt, or close it."""
+        if not keep or connection.server not in self.fleet.healthy:
+            return self.drop(connection)
+        connection.idle_since = now_ms()
+        connection.http.stream.notify = lambda: self.stirred(connection)
+        self.idle.setdefault(connection.server, deque()).append(connection)
+
+    def stirred(self, connection: Connection) -> None:
+        """Drop an idle connection on which anything happens: only its end, or junk, can."""
+        idle = self.idle.get(connection.server)
+        if idle and connection in idle:
+            idle.remove(connection)
+            self.drop(connection)
+
+    def drop(self, connection: Connection) -> None:
+        """Close a connection for good."""
+        connection.close()
+        self.open -= 1
+        left = self.by_server[connection.server] - 1
+        if left:
+            self.by_server[connection.server] = left
+        else:
+            del self.by_server[connection.server]
+
+    def evict(self) -> None:
+        """Close the connection that has been idle longest, to make room."""
+        oldest = min((idle[0] for idle in self.idle.values() if idle),
+                     key=lambda connection: connection.idle_since, default=None)
+        if oldest is not None:
+            self.idle[oldest.server].popleft()
+            self.drop(oldest)
+
+    def sweep(self) -> None:
+        """Close what has been idle too long, or leads to a server that wants nothing new."""
+        self.loop.after(1000.0, self.sweep)
+        before = now_ms() - self.idle_ms
+        for server, idle in list(self.idle.items()):
+            while idle and (idle[0].idle_since < before or server not in self.fleet.healthy):
+                self.drop(idle.popleft())
+            if not idle:
+                del self.idle[server]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self.idle.values():
+            while idle:
+                self.drop(idle.popleft())
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -13,15 +13,19 @@
 MOST_UNREAD = 262144  # bytes kept for a reader that is busy; the kernel holds the rest
 IN = select.EPOLLIN | select.EPOLLRDHUP
 
+NEW_SOCKET = socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC
+
 Address = tuple[str, int]
 
 
 class Stream:
     """One connection. ``notify`` is called whenever something about it has changed."""
 
-    __slots__ = ("loop", "sock", "fd", "notify", "connecting", "ended", "error", "incoming", "outgoing", "mask")
+    __slots__ = ("loop", "sock", "fd", "notify", "connecting", "ended", "error", "incoming", "outgoing",
+                 "mask")
 
-    def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object], connecting: bool = False):
+    def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object],
+                 connecting: bool = False) -> None:
         self.loop, self.sock, self.fd, self.notify = loop, sock, sock.fileno(), notify
         self.connecting, self.ended, self.error = connecting, False, 0
         self.incoming, self.outgoing = bytearray(), bytearray()
@@ -130,7 +134,7 @@
 def connect(loop: Loop, address: Address, notify: Callable[[], object]) -> Stream | OSError:
     """Begin to connect; the error, where it fails at once, is a value."""
     try:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | NEW_SOCKET)
     except OSError as error:  # no descriptors left
         return error
     try:
--- a/petrelhall/wirehost.py
+++ b/petrelhall/wirehost.py
@@ -12,12 +12,8 @@
 
 from petrelhall import interface as api
 from petrelhall.policy import Gateway
+from petrelhall.settings import read_settings
 
-EFFECTS = {
-    "repeatable": api.Effect.REPEATABLE,
-    "by_key": api.Effect.KEYED,
-    "once": api.Effect.ONCE,
-}
 ENDINGS = {ending.value: ending for ending in api.Ending}
 FIELDS = {
     "OpenInstance": 3,
@@ -38,68 +34,6 @@
     """A line or message that the wire does not allow."""
 
 
-def read_settings(profile: dict[str, Any]) -> api.Settings:
-    """Turn the first message's settings into the project's own; unknown keys are ignored."""
-    limits, rules, family = profile.get("Limits", {}), profile.get("Rules", {}), profile.get("FamilyInfo", {})
-    report = profile.get("Report", {})
-    classes = tuple(
-        api.RequestClass(
-            effect=EFFECTS[grade["Effect"]],
-            aim_ms=grade["PromiseMs"],
-            deadline_ms=grade["DeadlineMs"],
-            worth=grade.get("Worth", 1.0),
-            late_worth=grade.get("LateWorth", 0.0),
-            group=grade.get("Group") or "all",
-            window_ms=grade.get("WindowMs") or 0.0,
-            streamed=bool(grade.get("Streamed")),
-        )
-        for grade in profile["Grades"]
-    )
-    plans = tuple(
-        api.Plan(
-            rate=plan.get("QuotaRate") or 0.0,
-            burst=plan.get("Depth") or 0.0,
-            max_open=plan.get("Parallel") or 0,
-            price=plan.get("Pays", 1.0),
-            over_worth=plan.get("OverWorth") or 0.0,
-            over_cost=plan.get("BeyondCosts") or 0.0,
-            ceiling_rate=plan.get("NeverOverRate") or 0.0,
-            ceiling_burst=plan.get("CapDepth") or 0.0,
-            ceiling_slack=plan.get("CeilingSlack") or 0.0,
-        )
-        for plan in profile.get("Packages") or []
-    )
-    return api.Settings(
-        classes=classes,
-        plans=plans,
-        position=profile.get("Position", 0),
-        gateways=profile.get("Balancers", 1),
-        zone=profile.get("Zone", 0),
-        subscribe=profile.get("MembershipMode") == "subscribe",
-        ask_every_ms=rules.get("AskEveryMs", 10000.0),
-        max_attempts=limits.get("MaxAttempts", 1),
-        second_copies=bool(limits.get("SecondCopies")),
-        cancel=bool(limits.get("Cancel")),
-        probes=bool(limits.get("Probes")),
-        reports_with_answers=report.get("Source") == "piggyback",
-        report_names=tuple(report.get("Names") or ()),
-        peers=bool(limits.get("MayTell")),
-        peer_messages_per_s=family.get("MailPerS") or 0.0,
-        counter=bool(family.get("SharedCounter")),
-        counter_wait_ms=family.get("CountWaitMs") or 0.0,
-        meter_ms=family.get("MeterPeriodMs") or 0.0,
-        largest_units=family.get("Largest") or 1.0,
-        cost_after=bool(family.get("CostAfter")),
-        max_retry_after_ms=(limits.get("RetryAfter") and limits.get("MaxRetryAfterMs")) or 0.0,
-        drain_grace_ms=rules.get("DrainGraceMs") or 0.0,
-        cold_from=rules.get("ColdFrom", 1.0),
-        cold_ms=rules.get("ColdMs") or 0.0,
-        overload_factor=rules.get("OverloadFactor", 1.0),
-        fall_ms=rules.get("FallMs", 1000.0),
-        cross_zone_price=profile.get("Charges", {}).get("CrossZone") or 0.0,
-    )
-
-
 def read_event(name: str, values: list[Any], lists: dict[int, tuple[api.Server, ...]]) -> api.Event:
     """Turn one message into an event; ``values`` starts after the instance's number."""
     if name == "NewRequest":
