--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,152 @@
+"""Scripted peers for the stories in test_gateway.py: plain blocking sockets, each wait bounded."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Iterator
+from typing import Any
+
+PATIENCE_S = 10.0
+KINDS = {"view": "repeatable", "change": "by_key"}
+PROFILE: dict[str, Any] = {
+    "Areas": ["a"],
+    "Balancers": 1,
+    "Grades": [{"Name": name, "Effect": effect, "Group": "all", "PromiseMs": 3000.0, "DeadlineMs": 6000.0,
+                "WindowMs": 5000.0, "LateWorth": 0.2} for name, effect in KINDS.items()],
+    "Packages": [{"Name": "plan", "QuotaRate": 500.0, "Depth": 1000.0}],
+    "Limits": {"Cancel": True, "MaxAttempts": 5, "RetryAfter": True, "MaxRetryAfterMs": 1500.0,
+               "ConnIdleMs": 30000.0, "ConnectTimeoutMs": 250.0},
+    "Report": {"Source": "piggyback", "Names": ["rif"]},
+}
+
+
+def listen() -> socket.socket:
+    listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+    listener.settimeout(PATIENCE_S)
+    return listener
+
+
+def address(sock: socket.socket) -> str:
+    host, port = sock.getsockname()
+    return f"{host}:{port}"
+
+
+def read_message(sock: socket.socket) -> bytes:
+    """Read one HTTP message with a stated length, or whatever came before the end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            return data
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = re.search(rb"content-length: *(\d+)", head, re.IGNORECASE)
+    while length and len(body) < int(length[1]):
+        more = sock.recv(65536)
+        if not more:
+            break
+        body += more
+    return head + b"\r\n\r\n" + body
+
+
+def reply(body: bytes, status: str = "200 OK", *headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def ask(number: int = 1, kind: str = "view", deadline: str = "6000m", **changes: str | None) -> bytes:
+    """Word a client's request; a header can be changed, or left out with None."""
+    headers: dict[str, str | None] = {
+        "Host": "service", "X-Request-Id": f"{number:016x}", "X-Class": kind, "X-Contract": "plan",
+        "X-Deadline": deadline, "X-Metering": "units=1,spread=1,first=0",
+    }
+    headers |= {name.replace("_", "-"): value for name, value in changes.items()}
+    lines = [f"{name}: {value}" for name, value in headers.items() if value is not None]
+    return "\r\n".join(["GET /api/view?client=00000000b4d65521 HTTP/1.1", *lines]).encode() + b"\r\n\r\n"
+
+
+def entry(name: str, where: str, state: str = "Ready") -> dict[str, Any]:
+    return {"id": name, "addr": where, "zone": "a", "kind": "k", "cell": 0, "state": state, "weight": 1.0,
+            "started_ms": 0}
+
+
+class Story(unittest.TestCase):
+    """Starts the program with scripted servers round it, and ends all of it."""
+
+    def setUp(self) -> None:
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+
+    def listener(self) -> socket.socket:
+        return self.stack.enter_context(listen())
+
+    def start(self, *servers: socket.socket, sockets: int = 1024, **config: Any) -> subprocess.Popen[str]:
+        with listen() as free:
+            self.where = free.getsockname()
+        listed = [entry(f"s{n}", address(server)) for n, server in enumerate(servers)]
+        whole = {
+            "name": "n0", "listen": f"{self.where[0]}:{self.where[1]}", "discovery": "127.0.0.1:1",
+            "seed": "2a", "limits": {"sockets": sockets}, "known": {"version": 1, "full": True, "servers": listed},
+            "settings": PROFILE,
+        } | config
+        folder = self.stack.enter_context(tempfile.TemporaryDirectory())
+        path = os.path.join(folder, "config.json")
+        with open(path, "w") as file:
+            json.dump(whole, file)
+        command = [sys.executable, "-m", "petrelhall"]
+        self.program = subprocess.Popen(command, env={**os.environ, "EDGE_CONFIG": path}, text=True,
+                                        stderr=subprocess.PIPE)
+        self.stack.callback(self.end)
+        return self.program
+
+    def end(self) -> None:
+        if self.program.poll() is None:
+            self.program.kill()
+        self.program.communicate(timeout=PATIENCE_S)
+
+    def stop(self) -> str:
+        """End the program as planned, and give what it wrote."""
+        self.program.send_signal(signal.SIGTERM)
+        _, errors = self.program.communicate(timeout=PATIENCE_S)
+        self.assertEqual(self.program.returncode, 0, errors)
+        return errors
+
+    def client(self, *data: bytes) -> socket.socket:
+        """Connect, as soon as the program listens, and say something."""
+        until = time.monotonic() + PATIENCE_S
+        while True:
+            try:
+                sock = self.stack.enter_context(socket.create_connection(self.where, PATIENCE_S))
+                break
+            except ConnectionRefusedError:
+                if time.monotonic() > until or self.program.poll() is not None:
+                    raise
+                time.sleep(0.01)
+        for piece in data:
+            sock.sendall(piece)
+        return sock
+
+    def accept(self, listener: socket.socket) -> socket.socket:
+        sock = self.stack.enter_context(listener.accept()[0])
+        sock.settimeout(PATIENCE_S)
+        return sock
+
+    @contextlib.contextmanager
+    def beside(self, work: Any) -> Iterator[threading.Thread]:
+        """Run a scripted peer beside the story, and wait for it."""
+        thread = threading.Thread(target=work, daemon=True)
+        thread.start()
+        yield thread
+        thread.join(PATIENCE_S)
+        self.assertFalse(thread.is_alive())
