--- a/tests/peers.py
+++ b/tests/peers.py
@@ -97,8 +97,8 @@
         listed = [entry(f"s{n}", address(server)) for n, server in enumerate(servers)]
         whole = {
             "name": "n0", "listen": f"{self.where[0]}:{self.where[1]}", "discovery": "127.0.0.1:1",
-            "seed": "2a", "limits": {"sockets": sockets}, "known": {"version": 1, "full": True, "servers": listed},
-            "settings": PROFILE,
+            "seed": "2a", "limits": {"sockets": sockets}, "settings": PROFILE,
+            "known": {"version": 1, "full": True, "servers": listed},
         } | config
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         path = os.path.join(folder, "config.json")
