--- a/petrelhall/__main__.py
+++ b/petrelhall/__main__.py
@@ -26,6 +26,7 @@
 from petrelhall.policy import Gateway
 
 OWN_SOCKETS = 40  # descriptors for all but clients and servers, with some to spare
+GARBAGE = 20000  # objects made and not freed between two looks for cycles
 CLIENT_SHARE = 0.6  # of the other descriptors
 
 
@@ -86,6 +87,7 @@
         self.loop.register(wake.fileno(), 1, lambda mask: self.on_signals(wake.recv(64)))
         gc.collect()
         gc.freeze()  # what is here now stays: no collection needs to look at it again
+        gc.set_threshold(GARBAGE, 20, 50)  # requests leave no cycles: connections alone do, and those are few
         self.loop.run()
         self.log.write(str(self.counts))
 
--- a/petrelhall/net/dispatch.py
+++ b/petrelhall/net/dispatch.py
@@ -11,6 +11,8 @@
 from petrelhall.net.loop import Loop, describe, now_ms
 from petrelhall.net.requests import Fault, Order
 
+FOR_REQUESTS = api.Send | api.Refuse | api.Fail | api.Cancel
+
 
 class Module(Protocol):
     """The decisions."""
@@ -62,7 +64,7 @@
         if isinstance(action, api.SetTimer):
             token = action.token
             self.loop.after(action.after_ms, lambda: self.tell(api.Alarm(token)))
-        elif isinstance(action, api.Send | api.Refuse | api.Fail | api.Cancel):
+        elif isinstance(action, FOR_REQUESTS):
             self.to_request(action)
         elif isinstance(action, api.Tell):
             self.to_peers(action.content)
--- a/petrelhall/net/http1.py
+++ b/petrelhall/net/http1.py
@@ -53,6 +53,8 @@
         """Give the next request once it is whole."""
         if self.stream.incoming:
             self.http.receive_data(self.stream.take())
+        elif not self.http.trailing_data[0]:
+            return None  # nothing new: asking h11 costs as much as parsing a head does
         try:
             while True:
                 event = self.http.next_event()
@@ -129,6 +131,8 @@
         """Give the answer once it is whole; what comes of half an answer is broken, never served."""
         if self.stream.incoming:
             self.http.receive_data(self.stream.take())
+        elif not self.stream.ended:
+            return None
         try:
             while True:
                 event = self.http.next_event()
--- a/petrelhall/net/platform.py
+++ b/petrelhall/net/platform.py
@@ -86,7 +86,8 @@
     def answer(self, answer: Answer | Broken) -> tuple[int, Headers, bytes]:
         """Word an answer to a client."""
         if isinstance(answer, Served):
-            return 200, [(b"Content-Type", b"application/octet-stream")], answer.body
+            kind = answer.reply.headers.get(b"content-type")
+            return 200, [(b"Content-Type", kind)] if kind else [], answer.reply.body
         if isinstance(answer, Refused):
             return 429, [(b"Retry-After", b"%.3f" % (answer.retry_after_ms / 1000.0))], b"try again later\n"
         if isinstance(answer, Failed):
--- a/petrelhall/net/pool.py
+++ b/petrelhall/net/pool.py
@@ -120,7 +120,7 @@
             reach = Reach.UNWRITTEN if stream.outgoing else Reach.WRITTEN
             if isinstance(reply, Reply):
                 verdict = self.wording.verdict(reply)
-                return Result(verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply.body,
+                return Result(verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply,
                               verdict.report, verdict.used)
             if isinstance(reply, Broken) or stream.ended:
                 # A connection that breaks before the last byte is written proves that nothing ran.
--- a/petrelhall/net/requests.py
+++ b/petrelhall/net/requests.py
@@ -30,12 +30,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """How an attempt ended. ``body`` is the server's answer where the ending is ``ok``."""
+    """How an attempt ended. ``reply`` is the server's answer, in the front's own terms, where it is whole."""
 
     ending: Ending
     reach: Reach
     reason: str = ""
-    body: bytes = b""
+    reply: Any = None
     report: Mapping[str, float] = field(default_factory=dict)
     used: float | None = None
 
@@ -64,9 +64,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Served:
-    """A server's answer, unchanged."""
+    """A server's answer, to be passed on."""
 
-    body: bytes
+    reply: Any
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,6 +191,6 @@
                 if caller.gone:
                     return None
                 if served:
-                    return Served(result.body)
+                    return Served(result.reply)
         finally:
             overdue.cancel()
