--- a/petrelhall/net/loop.py
+++ b/petrelhall/net/loop.py
@@ -32,18 +32,13 @@
 
     __slots__ = ("when", "call")
 
-    def __init__(self, when: float, call: Callable[[], object]) -> None:
-        self.when = when
-        self.call: Callable[[], object] | None = call
+    def __init__(self, when: float, call: Callable[[], object] | None) -> None:
+        self.when, self.call = when, call
 
     def cancel(self) -> None:
         """Call it off."""
         self.call = None
 
-    def __lt__(self, other: Timer) -> bool:
-        """Order by time."""
-        return self.when < other.when
-
 
 class Task:
     """A generator that the loop runs until it ends."""
@@ -66,7 +61,8 @@
     def __init__(self, log: Callable[[str], None]) -> None:
         self.log, self.epoll = log, select.epoll()
         self.handlers: dict[int, Callable[[int], None]] = {}
-        self.timers: list[Timer] = []
+        self.timers: list[tuple[float, int, Timer]] = []  # a heap; the number keeps equal times in order
+        self.timed = 0
         self.ready: deque[Task] = deque()
         self.current: Task | None = None
         self.running = False
@@ -93,7 +89,8 @@
     def at(self, when: float, call: Callable[[], object]) -> Timer:
         """Make a call at some time."""
         timer = Timer(when, call)
-        heapq.heappush(self.timers, timer)
+        self.timed += 1
+        heapq.heappush(self.timers, (when, self.timed, timer))
         return timer
 
     def after(self, delay_ms: float, call: Callable[[], object]) -> Timer:
@@ -138,8 +135,8 @@
             if handler is not None:
                 self.guard(handler, mask)
         now = now_ms()
-        while self.timers and self.timers[0].when <= now:
-            call = heapq.heappop(self.timers).call
+        while self.timers and self.timers[0][0] <= now:
+            call = heapq.heappop(self.timers)[2].call
             if call is not None:
                 self.guard(call)
         for _ in range(len(self.ready)):
@@ -149,11 +146,11 @@
         """Give the seconds that nothing is due for."""
         if self.ready:
             return 0.0
-        while self.timers and self.timers[0].call is None:
+        while self.timers and self.timers[0][2].call is None:
             heapq.heappop(self.timers)
         if not self.timers:
             return LONGEST_S
-        return min(LONGEST_S, max(0.0, (self.timers[0].when - now_ms()) / 1000.0))
+        return min(LONGEST_S, max(0.0, (self.timers[0][0] - now_ms()) / 1000.0))
 
     def step(self, task: Task) -> None:
         """Run a task to its next wait."""
