--- a/petrelhall/__main__.py
+++ b/petrelhall/__main__.py
@@ -16,7 +16,7 @@
 from petrelhall.net.discovery import Watch
 from petrelhall.net.dispatch import Dispatcher
 from petrelhall.net.fleet import Fleet
-from petrelhall.net.front import Front
+from petrelhall.net.front import CLOSE_MS, Front
 from petrelhall.net.log import Log
 from petrelhall.net.loop import Loop
 from petrelhall.net.peers import Peers
@@ -26,6 +26,7 @@
 from petrelhall.policy import Gateway
 
 OWN_SOCKETS = 40  # descriptors for all but clients and servers, with some to spare
+LAST_MS = 2000.0  # after the last request's deadline, to end whatever would not end by itself
 GARBAGE = 20000  # objects made and not freed between two looks for cycles
 CLIENT_SHARE = 0.6  # of the other descriptors
 
@@ -99,6 +100,8 @@
             elif not self.stopping:
                 self.stopping = True
                 self.front.stop()
+                longest = max(kind.deadline_ms for kind in self.config.settings.classes)
+                self.loop.after(CLOSE_MS + longest + LAST_MS, self.loop.stop)  # nobody waits any more
 
 
 def main() -> int:
--- a/petrelhall/net/discovery.py
+++ b/petrelhall/net/discovery.py
@@ -17,6 +17,7 @@
 LATE_MS = 1500.0  # after which an answer that is due counts as lost with its connection
 CONNECT_MS = 1000.0
 PAUSE_MS = 100.0  # before asking anew after a failure: a watch goes on if asked within 200 ms
+UNUSABLE = "unusable list"
 MOST_LIST = 4 * 1024 * 1024
 
 
@@ -28,11 +29,13 @@
         self.loop, self.address, self.fleet, self.tell = loop, address, fleet, tell
         self.counts, self.log = counts, log
         self.listed = False  # whether discovery has answered since the start
+        self.whole = False  # whether to ask for the whole list, since a change could not be used
 
     def follow(self) -> Steps[None]:
         """Ask for ever; whatever goes wrong on one connection, the next one goes on from the version held."""
         while True:
             reason = yield from self.converse()
+            self.whole = self.whole or reason.startswith(UNUSABLE)
             self.counts.add("discovery", "breaks")
             if self.counts.get("discovery", "breaks") in (1, 10, 100, 1000):
                 self.log(f"discovery: {reason}; asking again")
@@ -53,7 +56,7 @@
                 return "cannot connect"
             http = ClientSide(stream)
             while True:
-                watching = self.listed
+                watching = self.listed and not self.whole
                 query = f"?after={self.fleet.version}&wait_ms={WAIT_MS}" if watching else ""
                 http.ask(b"GET", f"/v1/servers{query}".encode(), [(b"Host", b"discovery")])
                 until = now_ms() + LATE_MS + WAIT_MS * watching
@@ -82,8 +85,8 @@
         try:
             news = self.fleet.take(ujson.loads(reply.body))
         except (ValueError, TypeError, OverflowError) as error:
-            return f"unusable list: {error}"
-        self.listed = True
+            return f"{UNUSABLE}: {error}"
+        self.listed, self.whole = True, False
         self.counts.add("discovery", news.kind)
         if news.kind == "full" or news.servers:
             self.tell(news)
--- a/petrelhall/net/fleet.py
+++ b/petrelhall/net/fleet.py
@@ -48,9 +48,7 @@
         """Read one server."""
         if not isinstance(entry, dict) or not isinstance(entry.get("id"), str) or not entry["id"]:
             raise ValueError("a server without an id")
-        phase = PHASES.get(str(entry.get("state")))
-        if phase is None:
-            raise ValueError(f"unknown state {entry.get('state')!r}")
+        phase = PHASES.get(str(entry.get("state")), "cordoned")  # of a state not known here: nothing new
         gone = phase == "deregistered"
         address = ("", 0) if gone and not entry.get("addr") else parse_address(str(entry.get("addr")))
         weight = entry.get("weight")
--- a/petrelhall/net/front.py
+++ b/petrelhall/net/front.py
@@ -60,7 +60,7 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
-        self.accepting = False
+        self.accepting = self.starved = False
         self.accept_more()
 
     # Taking connections
@@ -96,6 +96,7 @@
         except OSError as error:
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                 self.counts.add("connections", "no_descriptor")
+                self.starved = True
                 self.accept_less()
                 self.loop.after(PAUSE_MS, self.make_room)
                 return False
@@ -136,7 +137,7 @@
         finally:
             client.stream.close()
             self.clients.discard(client)
-            if self.closing and not self.clients:
+            if self.closing and not self.clients and not self.starved:
                 self.on_empty()
 
     def exchange(self, client: Client) -> Steps[bool]:
@@ -160,8 +161,7 @@
                     return False
             last = self.leaving or isinstance(asked, Broken)
             keep = client.http.answer(*self.wording.answer(answer), last)
-        while client.stream.outgoing and not client.gone:
-            yield
+        yield from self.sent(client)
         if not keep:
             yield from self.linger(client)
         client.busy, client.idle_since = False, now_ms()
@@ -173,6 +173,8 @@
         while True:
             asked = client.http.request()
             if asked is not None or client.gone:
+                if half is not None:
+                    half.cancel()
                 return asked
             if client.http.begun and half is None:
                 half = self.loop.after(HALF_MS, self.loop.this_task().wake)
@@ -186,6 +188,19 @@
                 continue
             yield
 
+    def sent(self, client: Client) -> Steps[None]:
+        """Wait until an answer has gone out; a client that does not read it may not stay for ever."""
+        if not client.stream.outgoing:
+            return
+        until = now_ms() + HALF_MS
+        timer = self.loop.at(until, self.loop.this_task().wake)
+        while client.stream.outgoing and not client.gone:
+            if now_ms() >= until:
+                client.stream.end(errno.ETIMEDOUT)
+                break
+            yield
+        timer.cancel()
+
     def linger(self, client: Client) -> Steps[None]:
         """End our side first: closing on unread bytes would reset the connection and could eat the answer."""
         client.stream.finish_sending()
@@ -209,12 +224,15 @@
 
     def close(self) -> None:
         """Take the connections that the kernel holds, listen no more, and end the idle ones."""
-        self.closing = True
+        self.closing, self.starved = True, False
         self.accept_less()
         while self.accept():
             pass
-        self.listener.close()
+        if self.starved:  # connections wait that there was no descriptor for: as some close, take them
+            self.loop.after(PAUSE_MS, self.close)
+        else:
+            self.listener.close()
         for client in list(self.clients):
             client.stream.notify()
-        if not self.clients:
+        if not self.clients and not self.starved:
             self.on_empty()
--- a/petrelhall/net/http1.py
+++ b/petrelhall/net/http1.py
@@ -66,6 +66,8 @@
                 if isinstance(event, h11.Request):
                     self.asked = event
                     self.body.clear()
+                    if stated_length(event) > MOST_BODY:
+                        return Broken(413, "body too large")
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > MOST_BODY:
@@ -109,6 +111,11 @@
         self.stream.write(self.http.send(event) or b"")
 
 
+def stated_length(request: h11.Request) -> int:
+    """Give the length that a request says its body has; h11 has seen to its being a number."""
+    return next((int(value) for name, value in request.headers if name == b"content-length"), 0)
+
+
 class ClientSide:
     """The side that asks, one request at a time."""
 
--- a/petrelhall/net/platform.py
+++ b/petrelhall/net/platform.py
@@ -16,6 +16,7 @@
 DEADLINE = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])", re.ASCII)
 CUSTOMER = re.compile(r"[0-9a-fA-F]{16}", re.ASCII)
 MOST_CUSTOMERS = 2**33
+PASSED_ON = (b"host", b"x-request-id", b"idempotency-key", b"content-type")
 EARLY_MS = 15.0  # a deadline counts from the client's send: the way here, the way back and our own turn
 # Names of load figures on the sockets, and in the settings.
 FIGURES = {"inflight": "rif", "queue": "q", "util": "busy", "latency_ms": "lat_ms", "qps": "rate",
@@ -49,7 +50,7 @@
     def request(self, message: Message) -> Request | Broken:
         """Read a client's request; one that is not in the platform's form goes no further."""
         path, _, query = message.target.partition(b"?")
-        if path != PATH and not path.startswith(PATH + b"/"):
+        if path != PATH:
             return Broken(404, "unknown path")
         headers = message.headers
         try:
@@ -65,7 +66,7 @@
             units, spread = self.metering(headers.get(b"x-metering", b""))
             return Request(
                 index, plan, customer(query), deadline(headers.get(b"x-deadline", b"")), units, spread,
-                headers.get(b"x-retry") == b"1", Spoken(message, passed_on(headers)),
+                headers.get(b"x-retry") == b"1", Spoken(message, passed_on(message)),
             )
         except Refusal as error:
             return Broken(400, str(error))
@@ -144,7 +145,9 @@
     return max(1.0, left - EARLY_MS)
 
 
-def passed_on(headers: dict[bytes, bytes]) -> Headers:
-    """Give the headers that go on to a server."""
-    names = (b"host", b"x-request-id", b"idempotency-key", b"content-type", b"content-length")
-    return [(name.title(), headers[name]) for name in names if name in headers]
+def passed_on(message: Message) -> Headers:
+    """Give the headers that go on to a server; a body that came in chunks goes on with its length."""
+    headers: Headers = [(name, message.headers[name]) for name in PASSED_ON if name in message.headers]
+    if message.body or b"content-length" in message.headers:
+        headers.append((b"Content-Length", b"%d" % len(message.body)))
+    return headers
--- a/petrelhall/net/pool.py
+++ b/petrelhall/net/pool.py
@@ -11,7 +11,7 @@
 from petrelhall.net.counts import Counts
 from petrelhall.net.fleet import Fleet
 from petrelhall.net.http1 import Broken, ClientSide, Headers, Reply
-from petrelhall.net.loop import Loop, Steps, Timer, now_ms
+from petrelhall.net.loop import Loop, Steps, Timer, describe, now_ms
 from petrelhall.net.requests import Reach, Result
 from petrelhall.net.stream import Address, connect
 
@@ -75,7 +75,7 @@
         stream = connection.http.stream
         stream.notify = self.loop.this_task().wake
         timers = [self.loop.at(until, stream.notify)]
-        keep = False
+        keep = asked = False
         try:
             if stream.connecting:
                 failed = yield from self.connected(connection, until, timers, stopped)
@@ -85,10 +85,15 @@
             # rule on drains counts from the telling, and connecting may have taken a while.
             if server not in self.fleet.healthy:
                 return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "drained before it was sent")
+            asked = True
             connection.http.ask(*self.wording.outgoing(message, until - now_ms()))
             result = yield from self.answered(connection, until, stopped)
             keep = result.reach is Reach.ANSWERED and connection.http.again()
             return result
+        except Exception as error:  # our own fault, such as a message that h11 will not word: no server's
+            keep = False
+            reach = Reach.WRITTEN if asked else Reach.UNWRITTEN
+            return Result(Ending.ERROR if asked else Ending.MOOT, reach, describe(error))
         finally:
             for timer in timers:
                 timer.cancel()
--- a/petrelhall/net/requests.py
+++ b/petrelhall/net/requests.py
@@ -141,6 +141,9 @@
         self.counts.add("taken", "requests")
         try:
             answer = yield from self.live(ticket, request, caller)
+        except Exception:
+            self.tell(api.ClientGone(ticket.id))  # the module must not wait for it
+            raise
         finally:
             del self.tickets[ticket.id]
         self.counts.add("answered", "client_left" if answer is None else type(answer).__name__.lower())
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -73,7 +73,7 @@
     }
     headers |= {name.replace("_", "-"): value for name, value in changes.items()}
     lines = [f"{name}: {value}" for name, value in headers.items() if value is not None]
-    return "\r\n".join(["GET /api/view?client=00000000b4d65521 HTTP/1.1", *lines]).encode() + b"\r\n\r\n"
+    return "\r\n".join(["GET /api?client=00000000b4d65521 HTTP/1.1", *lines]).encode() + b"\r\n\r\n"
 
 
 def entry(name: str, where: str, state: str = "Ready") -> dict[str, Any]:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -39,7 +39,7 @@
         client = self.client(posted[:20], posted[20:], body)
         at_server = self.accept(server)
         seen = read_message(at_server)
-        self.assertTrue(seen.startswith(b"POST /api/view?client=00000000b4d65521 HTTP/1.1\r\n"))
+        self.assertTrue(seen.startswith(b"POST /api?client=00000000b4d65521 HTTP/1.1\r\n"))
         self.assertTrue(seen.endswith(body))
         for header in (b"X-Request-Id: 0000000000000001", b"Idempotency-Key: k1"):
             self.assertIn(header.lower(), seen.lower())
@@ -78,6 +78,18 @@
             self.assertTrue(ready, "no attempt came")
             return self.accept(servers[ready[0][0].data]), ready[0][0].data
 
+    def test_a_body_in_chunks_goes_on_with_its_length(self) -> None:
+        server = self.listener()
+        self.start(server)
+        posted = ask(kind="change", Idempotency_Key="k1", Transfer_Encoding="chunked")
+        client = self.client(posted.replace(b"GET", b"POST", 1), b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n")
+        at_server = self.accept(server)
+        seen = read_message(at_server)
+        self.assertTrue(seen.endswith(b"\r\n\r\nabcdefg"), seen)
+        self.assertIn(b"content-length: 7", seen.lower())
+        at_server.sendall(reply(b"done"))
+        self.assertTrue(read_message(client).endswith(b"done"))
+
     def test_turned_away_everywhere_is_one_refusal_that_says_when_to_come_back(self) -> None:
         server = self.listener()
         self.start(server)
@@ -136,7 +148,7 @@
             (400, ask(deadline="soon")), (400, ask(deadline="0m")), (400, ask(X_Metering=None)),
             (400, ask(X_Metering="units=1,spread=9,first=0")), (400, ask(X_Request_Id=None)),
             (400, ask(kind="change")), (400, ask().replace(b"client=0000", b"client=zzzz")),
-            (404, ask().replace(b"/api/view", b"/elsewhere")),
+            (404, ask().replace(b"/api", b"/elsewhere")),
             (413, ask(Content_Length="70000") + b"x" * 66000),
         ):
             with self.subTest(data=data[:200]):
