--- a/petrelhall/policy.py
+++ b/petrelhall/policy.py
@@ -29,6 +29,7 @@
 ASK_MIN, ASK_CUT, ASK_STEP, ASK_HASTE = 0.1, 0.7, 0.04, 0.2  # share of tries that call; growth/s; where clear
 SHARE_GAIN, KNOWN, PUT_RIGHT = 0.2, 0.9, 0.25  # weight of a verdict; share borne; of a burst worth a call
 PASS_MIN, PASS_GAIN, PASS_MS = 0.05, 0.5, 4000.0  # share let in by the meter: least, step at most, its pace
+OPEN_RISK = 0.05  # chance that the others hold the rest of a cap on attempts out, up to which one more goes
 # Servers
 LATENCY_GAIN, FLEET_GAIN, FAULT_GAIN = 0.15, 0.03, 0.05  # weight of an answer: server, fleet, class
 FORGIVE_MS, REPORT_MS, TRUST_MS = 8000.0, 500.0, 20000.0  # ms in which slowness, a report, trust lose half
@@ -96,7 +97,7 @@
     def within_quota(self, customer: Customer, units: float, verdict: bool | None) -> bool:
         """Let the bucket decide; beyond it, borrow room that the others are known to leave unused."""
         plan, within = customer.plan, min(customer.bucket, customer.shared) >= units
-        crowded = plan.max_open > 0 and customer.open >= max(1, int(plan.max_open * customer.even))
+        crowded = plan.max_open > 0 and self.crowded(customer)
         if crowded or plan.rate <= 0:
             return not crowded
         if verdict is not None:
@@ -107,6 +108,21 @@
         borrow = customer.shared >= units + customer.others * lag_s
         return borrow or within or (self.metered and customer.bucket >= units)
 
+    def crowded(self, customer: Customer) -> bool:
+        """Tell whether a customer has all attempts out that its plan allows, likely with the others'.
+
+        What the others keep out follows from their told rate (Little's law) and scatters as Poisson's does;
+        until peers were heard for a while the even slice holds.
+        """
+        left = customer.plan.max_open - customer.open
+        slice_left = max(1, int(customer.plan.max_open * customer.even)) - customer.open
+        unheard = self.now - max(self.started, self.peers_at) > NEWS_MS or self.now - self.started < RATE_MS
+        if slice_left > 0 or left <= 0 or not self.peers or unheard:
+            return slice_left <= 0
+        out = customer.others * statistics.fmean(self.latency.values()) / 1000.0
+        fewer = math.exp(-out) * sum(out**n / math.factorial(n) for n in range(left))
+        return 1.0 - fewer > OPEN_RISK
+
     def others_used(self, customer: Customer, units: float) -> None:
         """Book what other gateways sent on; what a full store would have lost pays first."""
         self.refill(customer)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from petrelhall import policy
+from petrelhall import gossip, policy
 from petrelhall.correlation import critical_t, t_statistic
 from petrelhall.interface import (
     Action,
@@ -263,6 +263,19 @@
     assert isinstance(here.ask(plan=1), Refuse)
 
 
+def test_a_cap_on_attempts_out_is_shared_by_what_the_others_likely_keep_out() -> None:
+    plan = Plan(rate=100, burst=200, max_open=3)
+    door = Door(replace(SETTINGS, plans=(plan,), peers=True, peer_messages_per_s=60))
+    assert isinstance(door.ask(), Send) and isinstance(door.ask(), Refuse)  # unheard: the even slice, 3 // 2
+    door.now += policy.RATE_MS
+    door.feed(PeerMessage(1, gossip.encode([])))
+    assert isinstance(door.ask(), Send)  # the other keeps nothing out
+    code = door.known("a").code
+    door.feed(PeerMessage(1, gossip.encode([(code, 60)])))  # 20 a second, four of them out
+    door.serve(Send(1, "s0"))
+    assert isinstance(door.ask(), Refuse)
+
+
 def test_no_counter_call_for_a_request_that_cannot_wait_for_it() -> None:
     door = Door(replace(SETTINGS, counter=True, counter_wait_ms=80))
     assert any(isinstance(a, Send) for a in door.feed(Arrival(1, 0, 1, "a", 100, 1, 2)))
