--- a/petrelhall/__main__.py
+++ b/petrelhall/__main__.py
@@ -5,6 +5,7 @@
 import gc
 import os
 import resource
+import select
 import signal
 import socket
 import sys
@@ -37,6 +38,8 @@
     def __init__(self, config: Config, log: Log) -> None:
         self.config, self.log = config, log
         self.loop, self.counts, self.fleet = Loop(log), Counts(), Fleet(config.areas)
+        self.stopping = False
+        self.mind_signals()  # before anyone can connect: unminded, any of them ends the program at once
         settings = config.settings
         self.dispatcher = Dispatcher(self.loop, Gateway(settings, config.seed), self.counts, log)
         platform = Platform(settings, config.classes, config.plans)
@@ -52,7 +55,6 @@
         self.front = Front(self.loop, config.listen, platform, desk, lambda: bool(self.fleet.addresses),
                            self.counts, log, clients)
         self.front.on_empty = self.loop.stop
-        self.stopping = False
 
     def join_others(self) -> None:
         """Open the ways to the other gateways that the configuration names."""
@@ -77,15 +79,19 @@
                       self.log)
         self.loop.spawn(watch.follow())
 
-    def run(self) -> None:
-        """Serve until told to end."""
+    def mind_signals(self) -> None:
+        """Have signals wake the loop, which then reads their numbers."""
         wake, woken = socket.socketpair()
         for end in (wake, woken):
             end.setblocking(False)
         signal.set_wakeup_fd(woken.fileno(), warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
             signal.signal(number, lambda *_: None)  # the loop reads the number from the wake-up socket
-        self.loop.register(wake.fileno(), 1, lambda mask: self.on_signals(wake.recv(64)))
+        self.loop.register(wake.fileno(), select.EPOLLIN, lambda mask: self.on_signals(wake.recv(64)))
+        self.signal_sockets = wake, woken
+
+    def run(self) -> None:
+        """Serve until told to end."""
         gc.collect()
         gc.freeze()  # what is here now stays: no collection needs to look at it again
         gc.set_threshold(GARBAGE, 20, 50)  # requests leave no cycles: connections alone do, and those are few
--- a/petrelhall/net/pool.py
+++ b/petrelhall/net/pool.py
@@ -85,8 +85,8 @@
             # rule on drains counts from the telling, and connecting may have taken a while.
             if server not in self.fleet.healthy:
                 return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "drained before it was sent")
-            asked = True
             connection.http.ask(*self.wording.outgoing(message, until - now_ms()))
+            asked = True
             result = yield from self.answered(connection, until, stopped)
             keep = result.reach is Reach.ANSWERED and connection.http.again()
             return result
@@ -206,9 +206,3 @@
                 self.drop(idle.popleft())
             if not idle:
                 del self.idle[server]
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for idle in self.idle.values():
-            while idle:
-                self.drop(idle.popleft())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -140,6 +140,38 @@
         self.assertRegex(read_message(client), rb"^HTTP/1.1 (429|502)")
         self.assertEqual(at_server.recv(100), b"")
 
+    def test_a_client_that_reads_slowly_holds_up_nobody_and_still_gets_all(self) -> None:
+        server = self.listener()
+        self.start(server)
+        slow = self.client()
+        body = b"z" * 60000
+        for number in range(60):  # more than the kernel holds for a reader that reads nothing
+            slow.sendall(ask(number))
+        with self.beside(lambda: self.answer_all(server, body, 61)):
+            brisk = self.client(ask(99))
+            self.assertTrue(read_message(brisk).endswith(body))
+            received = b""
+            while received.count(b"HTTP/1.1 200") < 60 or len(received) < 60 * len(body):
+                received += slow.recv(1 << 20)
+        self.assertIn("answered.served=61", self.stop())
+
+    def answer_all(self, server: socket.socket, body: bytes, requests: int) -> None:
+        """Answer so many requests, each of them on whatever connection it comes by."""
+        with selectors.DefaultSelector() as selector:
+            selector.register(server, selectors.EVENT_READ)
+            while requests:
+                for key, _ in selector.select(PATIENCE_S):
+                    if key.fileobj is server:
+                        selector.register(self.accept(server), selectors.EVENT_READ)
+                        continue
+                    sock = key.fileobj
+                    assert isinstance(sock, socket.socket)
+                    if read_message(sock):
+                        sock.sendall(reply(body))
+                        requests -= 1
+                    else:
+                        selector.unregister(sock)
+
     def test_what_is_not_in_form_is_told_so_and_reaches_no_server(self) -> None:
         server = self.listener()
         self.start(server)
@@ -313,6 +345,34 @@
         self.assertEqual(answers, [Refused(700.0)])
         self.assertIn("ZeroDivisionError", self.notes[0])
 
+    def test_a_message_that_cannot_be_worded_ends_its_attempt_as_never_run(self) -> None:
+        with listen() as server:
+            fleet = Fleet(("a",))
+            fleet.take({"version": 1, "full": True, "servers": [entry("s0", address(server), "Ready")]})
+            platform = Platform(read_settings(PROFILE), ("view", "change"), ("plan",))
+            pool = Pool(self.loop, fleet, platform, self.counts, 10, 30000.0, 250.0)
+            results: list[Any] = []
+
+            def attempt() -> Any:
+                results.append((yield from pool.attempt("s0", "junk", now_ms() + 5000.0, lambda: False)))
+
+            self.loop.spawn(attempt())
+            self.turn_until(lambda: results)
+            self.assertEqual((results[0].ending, results[0].reach), (Ending.MOOT, Reach.UNWRITTEN))
+            self.assertEqual(pool.open, 0)
+
+    def test_a_state_not_known_here_and_gone_get_nothing_new(self) -> None:
+        fleet = Fleet(("a", "b"))
+        states = ("Ready", "Ready", "Odd")
+        lines = [entry(f"s{n}", f"127.0.0.1:{n + 1}", state) for n, state in enumerate(states)]
+        lines[1]["zone"] = "b"
+        told = fleet.take({"version": 1, "full": True, "servers": lines})
+        read = [(server.phase, server.zone) for server in told.servers]
+        self.assertEqual(read, [("healthy", 0), ("healthy", 1), ("cordoned", 0)])
+        told = fleet.take({"version": 2, "full": False, "servers": [{"id": "s0", "state": "Gone"}]})
+        self.assertEqual([(s.address, s.phase) for s in told.servers], [("s0", "deregistered")])
+        self.assertEqual(fleet.healthy, {"s1"})
+
     def test_what_follows_from_an_action_waits_for_the_actions_before_it(self) -> None:
         class Asking:
             actions: list[api.Action] = []
