--- a/petrelhall/net/http1.py
+++ b/petrelhall/net/http1.py
@@ -164,7 +164,8 @@
 
     def again(self) -> bool:
         """Make ready for the next request; False where this connection cannot carry one."""
-        if self.stream.ended or self.stream.incoming or self.http.trailing_data[0]:
+        stream = self.stream
+        if stream.ended or stream.incoming or stream.outgoing or self.http.trailing_data[0]:
             return False
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
             return False
--- a/petrelhall/net/loop.py
+++ b/petrelhall/net/loop.py
@@ -49,8 +49,8 @@
         self.loop, self.steps, self.queued, self.done = loop, steps, False, False
 
     def wake(self) -> None:
-        """Let it run on soon."""
-        if not self.queued and not self.done:
+        """Let it run on soon; one that runs looks at all it waits for before it waits again."""
+        if not self.queued and not self.done and self.loop.current is not self:
             self.queued = True
             self.loop.ready.append(self)
 
--- a/petrelhall/net/pool.py
+++ b/petrelhall/net/pool.py
@@ -91,6 +91,7 @@
             keep = result.reach is Reach.ANSWERED and connection.http.again()
             return result
         except Exception as error:  # our own fault, such as a message that h11 will not word: no server's
+            self.loop.log(f"attempt failed: {describe(error)}")
             keep = False
             reach = Reach.WRITTEN if asked else Reach.UNWRITTEN
             return Result(Ending.ERROR if asked else Ending.MOOT, reach, describe(error))
