Move discovery and the counter on SIGHUP instead of dying of it

At fault: Program.mind_signals in petrelhall/__main__.py took TERM, INT and USR1 only, and nothing read the file again. Looked at: the versions of a new address may be counted its own way, so it is asked for the whole list (Watch.moved), and the old list and address serve until it has answered. EDGE_DISCOVERY names the address of the start, so on a reload the file wins. A bad file keeps the old configuration and logs one line. Calls under way at the old counter are still heard.

--- a/petrelhall/__main__.py
+++ b/petrelhall/__main__.py
@@ -24,6 +24,7 @@
 from petrelhall.net.platform import Platform
 from petrelhall.net.pool import Pool
 from petrelhall.net.requests import Desk
+from petrelhall.net.stream import Address
 from petrelhall.policy import Gateway
 
 OWN_SOCKETS = 40  # descriptors for all but clients and servers, with some to spare
@@ -39,6 +40,7 @@
         self.config, self.log = config, log
         self.loop, self.counts, self.fleet = Loop(log), Counts(), Fleet(config.areas)
         self.stopping = False
+        self.counter: CounterClient | None = None
         self.mind_signals()  # before anyone can connect: unminded, any of them ends the program at once
         settings = config.settings
         self.dispatcher = Dispatcher(self.loop, Gateway(settings, config.seed), self.counts, log)
@@ -64,9 +66,14 @@
                           config.settings.position, tell, self.counts)
             self.dispatcher.to_peers = peers.send
         if config.settings.counter and config.counter:
-            wait_ms = config.settings.counter_wait_ms
-            counter = CounterClient(self.loop, config.counter, wait_ms, tell, self.counts)
-            self.dispatcher.to_counter = counter.add
+            self.counter = self.counter_at(config.counter)
+
+    def counter_at(self, address: Address) -> CounterClient:
+        """Have calls to the counter go to an address."""
+        wait_ms = self.config.settings.counter_wait_ms
+        client = CounterClient(self.loop, address, wait_ms, self.dispatcher.tell, self.counts)
+        self.dispatcher.to_counter = client.add
+        return client
 
     def start_list(self) -> None:
         """Begin with the list that this gateway last had, then follow discovery."""
@@ -75,9 +82,22 @@
                 self.dispatcher.tell(self.fleet.take(self.config.known, "cached"))
         except (ValueError, TypeError) as error:
             raise ConfigError(f"config.known: {error}") from error
-        watch = Watch(self.loop, self.config.discovery, self.fleet, self.dispatcher.tell, self.counts,
-                      self.log)
-        self.loop.spawn(watch.follow())
+        self.watch = Watch(self.loop, self.config.discovery, self.fleet, self.dispatcher.tell, self.counts,
+                           self.log)
+
+    def reload(self) -> None:
+        """Read the configuration anew and move to where discovery and the counter now are."""
+        try:
+            new = load(os.environ, anew=True)
+        except ConfigError as error:  # the old one goes on serving: a bad file must not end a gateway
+            self.counts.add("reload", "refused")
+            return self.log.write(f"configuration not taken over: {error}")
+        self.counts.add("reload", "taken")
+        if new.discovery != self.watch.address:
+            self.watch = self.watch.moved(new.discovery)
+        if self.counter is not None and new.counter is not None and new.counter != self.counter.address:
+            self.counter.retire()
+            self.counter = self.counter_at(new.counter)
 
     def mind_signals(self) -> None:
         """Have signals wake the loop, which then reads their numbers."""
@@ -85,7 +105,7 @@
         for end in (wake, woken):
             end.setblocking(False)
         signal.set_wakeup_fd(woken.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
             signal.signal(number, lambda *_: None)  # the loop reads the number from the wake-up socket
         self.loop.register(wake.fileno(), select.EPOLLIN, lambda mask: self.on_signals(wake.recv(64)))
         self.signal_sockets = wake, woken
@@ -99,10 +119,12 @@
         self.log.write(str(self.counts))
 
     def on_signals(self, numbers: bytes) -> None:
-        """Print the counters, or begin the end."""
+        """Print the counters, move to a new configuration, or begin the end."""
         for number in numbers:
             if number == signal.SIGUSR1:
                 self.log.write(str(self.counts))
+            elif number == signal.SIGHUP:
+                self.loop.guard(self.reload)
             elif not self.stopping:
                 self.stopping = True
                 self.front.stop()
--- a/petrelhall/net/config.py
+++ b/petrelhall/net/config.py
@@ -40,8 +40,12 @@
     connect_timeout_ms: float
 
 
-def load(environment: Mapping[str, str]) -> Config:
-    """Read the file that the environment names; the variables win over what it says of the same things."""
+def load(environment: Mapping[str, str], anew: bool = False) -> Config:
+    """Read the file that the environment names; the variables win over what it says of the same things.
+
+    Read ``anew``, the file's word on discovery wins: the environment is that of the start, and would for ever
+    lead back to an address that was left.
+    """
     prefix = "EDGE_"
     path = environment.get(prefix + "CONFIG")
     if not path:
@@ -55,7 +59,8 @@
         raise ConfigError(f"{prefix}CONFIG: {path} is not JSON: {error}") from error
     if isinstance(value, dict):
         for key in ("name", "listen", "discovery"):
-            if environment.get(prefix + key.upper()):
+            newer = anew and key == "discovery" and value.get(key)
+            if environment.get(prefix + key.upper()) and not newer:
                 value[key] = environment[prefix + key.upper()]
     try:
         return read(Section("config", value))
--- a/petrelhall/net/counter.py
+++ b/petrelhall/net/counter.py
@@ -41,6 +41,10 @@
         self.paused_until = 0.0
         self.connect_timer: Timer | None = None
 
+    def retire(self) -> None:
+        """Take no more calls: another address has taken over. What is asked is still heard, then it ends."""
+        self.loop.after(SILENT_WAITS * self.wait_ms, self.lose)
+
     def add(self, name: int, amount: float, expire_ms: float) -> None:
         """Make a call."""
         now = now_ms()
--- a/petrelhall/net/discovery.py
+++ b/petrelhall/net/discovery.py
@@ -22,19 +22,42 @@
 
 
 class Watch:
-    """Keeps the fleet and the module up to date."""
+    """Keeps the fleet and the module up to date from one address, until another takes its place.
+
+    ``replaced`` is the watch that served until now: the old list serves, and the old address is heard, until
+    the new one has answered. Versions belong to an address: the new one is asked for the whole list.
+    """
 
     def __init__(self, loop: Loop, address: Address, fleet: Fleet, tell: Callable[[api.ServerList], None],
-                 counts: Counts, log: Callable[[str], None]) -> None:
+                 counts: Counts, log: Callable[[str], None], replaced: Watch | None = None) -> None:
         self.loop, self.address, self.fleet, self.tell = loop, address, fleet, tell
-        self.counts, self.log = counts, log
-        self.listed = False  # whether discovery has answered since the start
+        self.counts, self.log, self.replaced = counts, log, replaced
+        self.listed = False  # whether this address has answered
         self.whole = False  # whether to ask for the whole list, since a change could not be used
+        self.over = False
+        self.task = loop.spawn(self.follow())
+
+    def moved(self, address: Address) -> Watch:
+        """Give the watch that takes this one's place; one that never answered leaves no trace."""
+        serving, self.replaced = self.replaced or self, None
+        if serving is not self:
+            self.end()
+        return Watch(self.loop, address, self.fleet, self.tell, self.counts, self.log, serving)
+
+    def end(self) -> None:
+        """Follow no more."""
+        self.over = True
+        self.task.wake()
+        if self.replaced is not None:
+            self.replaced.end()
+            self.replaced = None
 
     def follow(self) -> Steps[None]:
-        """Ask for ever; whatever goes wrong on one connection, the next one goes on from the version held."""
-        while True:
+        """Ask until the end; whatever fails on one connection, the next goes on from the version held."""
+        while not self.over:
             reason = yield from self.converse()
+            if self.over:
+                return
             self.whole = self.whole or reason.startswith(UNUSABLE)
             self.counts.add("discovery", "breaks")
             if self.counts.get("discovery", "breaks") in (1, 10, 100, 1000):
@@ -50,7 +73,7 @@
         try:
             until = now_ms() + CONNECT_MS
             timers.append(self.loop.at(until, self.loop.this_task().wake))
-            while stream.connecting and not stream.ended and now_ms() < until:
+            while stream.connecting and not stream.ended and now_ms() < until and not self.over:
                 yield
             if stream.connecting or stream.ended:
                 return "cannot connect"
@@ -61,9 +84,11 @@
                 http.ask(b"GET", f"/v1/servers{query}".encode(), [(b"Host", b"discovery")])
                 until = now_ms() + LATE_MS + WAIT_MS * watching
                 timers.append(self.loop.at(until, self.loop.this_task().wake))
-                while (reply := http.reply(MOST_LIST)) is None and now_ms() < until:
+                while not self.over and (reply := http.reply(MOST_LIST)) is None and now_ms() < until:
                     yield
                 timers.pop().cancel()
+                if self.over:  # what an address says that was left behind would mix two counts of versions
+                    return "left"
                 failure = self.take(reply)
                 if failure:
                     return failure
@@ -87,6 +112,9 @@
         except (ValueError, TypeError, OverflowError) as error:
             return f"{UNUSABLE}: {error}"
         self.listed, self.whole = True, False
+        if self.replaced is not None:
+            self.replaced.end()
+            self.replaced = None
         self.counts.add("discovery", news.kind)
         if news.kind == "full" or news.servers:
             self.tell(news)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -101,15 +101,22 @@
             "known": {"version": 1, "full": True, "servers": listed},
         } | config
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
-        path = os.path.join(folder, "config.json")
+        self.path = path = os.path.join(folder, "config.json")
         with open(path, "w") as file:
             json.dump(whole, file)
+        self.whole = whole
         command = [sys.executable, "-m", "petrelhall"]
         self.program = subprocess.Popen(command, env={**os.environ, "EDGE_CONFIG": path}, text=True,
                                         stderr=subprocess.PIPE)
         self.stack.callback(self.end)
         return self.program
 
+    def reload(self, content: str) -> None:
+        """Put another configuration in place and tell the program."""
+        with open(self.path, "w") as file:
+            file.write(content)
+        self.program.send_signal(signal.SIGHUP)
+
     def end(self) -> None:
         if self.program.poll() is None:
             self.program.kill()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import unittest
+import unittest.mock
 from typing import Any
 
 from petrelhall import interface as api
@@ -285,6 +286,37 @@
             at_new.sendall(reply(b"new"))
             self.assertTrue(read_message(client).endswith(b"new"))
 
+    def test_a_new_configuration_moves_discovery_and_a_bad_one_moves_nothing(self) -> None:
+        agent, other, old, new = (self.listener() for _ in range(4))
+        with unittest.mock.patch.dict(os.environ, EDGE_DISCOVERY=address(agent)):
+            program = self.start(old)
+        first = self.accept(agent)
+        read_message(first)
+        listing = {"version": 9, "full": True, "servers": [entry("s0", address(old))]}
+        first.sendall(reply(json.dumps(listing).encode()))
+        self.assertIn(b"after=9", read_message(first))
+        self.reload("{")
+        assert program.stderr is not None
+        self.assertIn("configuration not taken over", program.stderr.readline())
+        self.reload(json.dumps(self.whole | {"discovery": address(other)}))
+        second = self.accept(other)
+        self.assertTrue(read_message(second).startswith(b"GET /v1/servers HTTP/1.1"))  # not after version 9
+        client = self.client(ask(1))
+        at_old = self.accept(old)  # the old list serves until the new address has answered
+        read_message(at_old)
+        at_old.sendall(reply(b"old"))
+        self.assertTrue(read_message(client).endswith(b"old"))
+        listing = {"version": 2, "full": True, "servers": [entry("s1", address(new))]}
+        second.sendall(reply(json.dumps(listing).encode()))
+        self.assertIn(b"after=2", read_message(second))
+        self.assertEqual(first.recv(100), b"")  # nobody listens to the address that was left
+        client.sendall(ask(2))
+        at_new = self.accept(new)
+        read_message(at_new)
+        at_new.sendall(reply(b"new"))
+        self.assertTrue(read_message(client).endswith(b"new"))
+        self.assertIn("reload.refused=1 reload.taken=1", self.stop())
+
 
 class Parts(unittest.TestCase):
     """Single parts between scripted neighbours."""
