Take a spoilt answer for an error of one request, not for its server's death

At fault: Pool.answered in petrelhall/net/pool.py, which told RESET for every Broken reply. Ruled out: timeouts (all of them had no byte of answer), trailing bytes (the connection was dropped already). Each new test fails with its part taken out.

--- a/petrelhall/net/counter.py
+++ b/petrelhall/net/counter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections import deque
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
 SILENT_WAITS = 5.0  # a line that owes answers for so many waits is taken for dead: TCP would never tell
 MOST_OUT = 1000  # calls without an answer; beyond them nothing is asked
 MOST_LINE = 256
+TOTAL = re.compile(rb"-?\d{1,30}(?:\.\d{1,30})?(?:[eE][+-]?\d{1,2})?")
 
 
 class Call:
@@ -97,24 +99,29 @@
                 if not self.sent:
                     return self.lose()  # an answer to nothing: the order is gone
                 self.heard = now_ms()
-                self.answer(self.sent.popleft(), line)
+                call = self.sent.popleft()
+                if not self.answer(call, line):
+                    self.counts.add("counter", "spoilt")
+                    self.sent.appendleft(call)  # it and all behind it may have been added
+                    return self.lose()
             if len(rest) > MOST_LINE:
                 return self.lose()
         if stream.ended:
             return self.lose(pause=stream.connecting)
         self.push()
 
-    def answer(self, call: Call, line: bytes) -> None:
-        """Read one line."""
+    def answer(self, call: Call, line: bytes) -> bool:
+        """Read one line; False where it is spoilt, after which the connection is of no use."""
         words = line.split()
-        if words[:1] == [b"busy"]:
-            return self.finish(call, Ending.FULL)
-        try:
-            if words[0] == b"ok" and math.isfinite(total := float(words[1])):
-                return self.finish(call, Ending.OK, total)
-        except (IndexError, ValueError):
-            pass
-        self.finish(call, Ending.ERROR)
+        if words == [b"busy"]:
+            self.finish(call, Ending.FULL)
+        elif words[:1] == [b"error"]:
+            self.finish(call, Ending.ERROR)
+        elif len(words) == 2 and words[0] == b"ok" and TOTAL.fullmatch(words[1]):
+            self.finish(call, Ending.OK, float(words[1]))
+        else:
+            return False
+        return True
 
     def give_up(self, call: Call) -> None:
         """Tell that an answer did not come in time; a call that was never written added nothing."""
--- a/petrelhall/net/http1.py
+++ b/petrelhall/net/http1.py
@@ -9,6 +9,7 @@
 from petrelhall.net.stream import Stream
 
 MOST_BODY = 65536
+MOST_INTERIM = 8  # answers of 1xx in front of the final one
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -44,6 +45,17 @@
     return {name.lower(): value for name, value in head.headers.raw_items()}
 
 
+def stated_length(head: h11.Request | h11.Response) -> int | None:
+    """Give the length that a head says its body has; h11 has seen to its being a number."""
+    return next((int(value) for name, value in head.headers if name == b"content-length"), None)
+
+
+def ambiguous(head: h11.Request | h11.Response) -> bool:
+    """Tell whether a head frames its body in two ways: two readers could see its end in two places."""
+    named = {name for name, _ in head.headers}
+    return b"content-length" in named and b"transfer-encoding" in named
+
+
 class ServerSide:
     """The side that takes requests, one at a time."""
 
@@ -71,7 +83,9 @@
                 if isinstance(event, h11.Request):
                     self.asked = event
                     self.body.clear()
-                    if stated_length(event) > MOST_BODY:
+                    if ambiguous(event):  # another request may hide in its body
+                        return Broken(400, "both Content-Length and Transfer-Encoding")
+                    if (stated_length(event) or 0) > MOST_BODY:
                         return Broken(413, "body too large")
                 elif isinstance(event, h11.Data):
                     self.body += event.data
@@ -116,18 +130,13 @@
         self.stream.write(self.http.send(event) or b"")
 
 
-def stated_length(request: h11.Request) -> int:
-    """Give the length that a request says its body has; h11 has seen to its being a number."""
-    return next((int(value) for name, value in request.headers if name == b"content-length"), 0)
-
-
 class ClientSide:
     """The side that asks, one request at a time."""
 
-    __slots__ = ("stream", "http", "head", "body")
+    __slots__ = ("stream", "http", "head", "body", "interim")
 
     def __init__(self, stream: Stream) -> None:
-        self.stream, self.http = stream, h11.Connection(h11.CLIENT)
+        self.stream, self.http, self.interim = stream, h11.Connection(h11.CLIENT), 0
         self.head: h11.Response | None = None
         self.body = bytearray()
 
@@ -151,10 +160,17 @@
                 if event is h11.NEED_DATA:
                     if not self.stream.ended:
                         return None
-                    self.http.receive_data(b"")  # the end may be what closes a body without a length
+                    self.http.receive_data(b"")  # what it cuts short is broken
                 elif isinstance(event, h11.Response):
                     self.head = event
                     self.body.clear()
+                    self.interim = 0
+                    length = stated_length(event)
+                    framed = length is not None or b"transfer-encoding" in by_name(event)
+                    if ambiguous(event) or not framed:  # a connection's end does not prove an answer whole
+                        return Broken(502, "answer whose end is not told")
+                    if (length or 0) > most:
+                        return Broken(502, "answer too large")
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > most:
@@ -162,7 +178,9 @@
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                     head, self.head = self.head, None
                     return Reply(head.status_code, by_name(head), bytes(self.body))
-                elif not isinstance(event, h11.InformationalResponse):
+                elif isinstance(event, h11.InformationalResponse) and self.interim < MOST_INTERIM:
+                    self.interim += 1
+                else:
                     return Broken(502, "no answer")
         except h11.RemoteProtocolError as error:
             return Broken(502, str(error))
--- a/petrelhall/net/platform.py
+++ b/petrelhall/net/platform.py
@@ -13,6 +13,7 @@
 
 PATH, READY = b"/api", b"/healthz"
 DEADLINE = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])", re.ASCII)
+FIGURE = re.compile(r"\d{1,12}(?:\.\d{1,12})?(?:e-?\d{1,2})?", re.ASCII)
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 MOST_CUSTOMERS = 2**33
 PASSED_ON = (b"host", b"x-request-id", b"idempotency-key", b"content-type")
@@ -112,16 +113,19 @@
         return Verdict(Ending.ERROR, report)
 
     def report(self, value: bytes) -> dict[str, float]:
-        """Read a load report: a word, then fields; those that the settings do not name are passed over."""
+        """Read a load report: a word, then fields; those that the settings do not name are passed over.
+
+        A report with a figure that is not a number from 0 on is no report: one nan in a server's cost would
+        keep the module from ever choosing it.
+        """
         report = {}
         for part in value.decode("latin-1").replace(",", " ").split():
             name, equals, number = part.partition("=")
             name = FIGURES.get(name, name)
             if equals and name in self.figures:
-                try:
-                    report[name] = float(number)
-                except ValueError:
-                    continue
+                if not FIGURE.fullmatch(number):
+                    return {}
+                report[name] = float(number)
         return report
 
 
--- a/petrelhall/net/pool.py
+++ b/petrelhall/net/pool.py
@@ -128,6 +128,11 @@
                 verdict = self.wording.verdict(reply)
                 return Result(verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply,
                               verdict.report, verdict.used)
+            if isinstance(reply, Broken) and reach and not stream.ended:
+                # A spoilt answer comes from a server that lives: an error of one request. Told as a reset it
+                # would count as the server's death, and the module would leave it alone and treat it as cold.
+                self.counts.add("servers", "spoilt_answers")
+                return Result(Ending.ERROR, reach, reply.reason)
             if isinstance(reply, Broken) or stream.ended:
                 # A connection that breaks before the last byte is written proves that nothing ran.
                 ending = Ending.RESET if reach else Ending.CONNECT_FAILED
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -91,6 +91,39 @@
         at_server.sendall(reply(b"done"))
         self.assertTrue(read_message(client).endswith(b"done"))
 
+    def test_a_spoilt_answer_is_no_answer_and_its_server_is_not_taken_for_dead(self) -> None:
+        server = self.listener()
+        self.start(server)
+        client = self.client()
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        spoilt = (
+            b"\x00noise\r\n\r\n", b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nno",
+            b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppppppp\r\n" * 4000,
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 2\r\n\r\nno",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nno", b"HTTP/1.1 200 OK\r\n\r\nno",
+            chunked + b"\r\n2\r\nno\r\nzz\r\n", chunked + b"Content-Length: 2\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+            b"HTTP/1.1 100 Continue\r\n\r\n" * 30,
+        )
+        for number, answer in enumerate(spoilt):
+            with self.subTest(answer=answer[:40]):
+                client.sendall(ask(number))
+                at_server = self.accept(server)  # each on a connection of its own, and at once
+                read_message(at_server)
+                at_server.sendall(answer)
+                self.assertTrue(read_message(client).startswith(b"HTTP/1.1 429"))
+        client.sendall(ask(100))
+        at_server = self.accept(server)
+        read_message(at_server)
+        at_server.sendall(b"HTTP/1.1 102 Wait\r\n\r\n" * 3 + reply(b"good") + reply(b"behind"))
+        self.assertTrue(read_message(client).endswith(b"good"))
+        client.sendall(ask(101))
+        at_server = self.accept(server)  # what came behind is nobody's answer
+        read_message(at_server)
+        at_server.sendall(reply(b"next"))
+        self.assertTrue(read_message(client).endswith(b"next"))
+        counts = self.stop()
+        self.assertIn(f"sent.error={len(spoilt)} sent.ok=2 servers.spoilt_answers={len(spoilt)}", counts)
+
     def test_turned_away_everywhere_is_one_refusal_that_says_when_to_come_back(self) -> None:
         server = self.listener()
         self.start(server)
@@ -180,6 +213,7 @@
             (400, b"nonsense\r\n\r\n"), (400, ask(kind="unknown")), (400, ask(X_Contract=None)),
             (400, ask(deadline="soon")), (400, ask(deadline="0m")), (400, ask(X_Metering=None)),
             (400, ask(X_Metering="units=1,spread=9,first=0")), (400, ask(X_Request_Id=None)),
+            (400, ask(Content_Length="3", Transfer_Encoding="chunked") + b"0\r\n\r\n"),
             (400, ask(kind="change")), (400, ask().replace(b"client=0000", b"client=zzzz")),
             (404, ask().replace(b"/api", b"/elsewhere")),
             (413, ask(Content_Length="70000") + b"x" * 66000),
@@ -190,7 +224,7 @@
         client = self.client(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertTrue(read_message(client).startswith(b"HTTP/1.1 200"))
         counts = self.stop()
-        self.assertIn("answered.bad_400=10 answered.bad_404=1 answered.bad_413=1", counts)
+        self.assertIn("answered.bad_400=11 answered.bad_404=1 answered.bad_413=1", counts)
         self.assertNotIn("taken.", counts)
         server.settimeout(0)
         self.assertRaises(BlockingIOError, server.accept)
@@ -393,6 +427,12 @@
             self.assertEqual((results[0].ending, results[0].reach), (Ending.MOOT, Reach.UNWRITTEN))
             self.assertEqual(pool.open, 0)
 
+    def test_a_load_report_with_a_figure_that_is_none_is_no_report(self) -> None:
+        platform = Platform(read_settings(PROFILE), ("view", "change"), ("plan",))
+        self.assertEqual(platform.report(b"LOAD inflight=3.5, qps=7"), {"rif": 3.5})
+        for figure in (b"nan", b"inf", b"-1", b"1_0", b"1e999", b"much", b""):
+            self.assertEqual(platform.report(b"LOAD inflight=" + figure), {}, figure)
+
     def test_a_state_not_known_here_and_gone_get_nothing_new(self) -> None:
         fleet = Fleet(("a", "b"))
         states = ("Ready", "Ready", "Odd")
@@ -448,9 +488,18 @@
             line.close()
             self.turn_until(lambda: len(told) == 5)
             self.assertEqual(told[4][1], Ending.TIMEOUT)  # written whole: it may have been added
-        counter.add(6, 1.0, 1000.0)  # nobody listens any more
-        self.turn_until(lambda: len(told) == 6)
-        self.assertEqual(told[5][1], Ending.CONNECT_FAILED)
+            counter.add(6, 1.0, 1000.0)
+            counter.add(7, 1.0, 1000.0)
+            self.turn_until(lambda: not counter.unsent)
+            line, _ = server.accept()
+            line.sendall(b"ok 1_0\r\nok 9\r\n")  # the first may have been added, and nothing behind it counts
+            self.turn_until(lambda: len(told) == 7)
+            self.assertEqual(told[5:], [(6, Ending.TIMEOUT, 0.0), (7, Ending.TIMEOUT, 0.0)])
+            self.assertIsNone(counter.stream)
+            line.close()
+        counter.add(8, 1.0, 1000.0)  # nobody listens any more
+        self.turn_until(lambda: len(told) == 8)
+        self.assertEqual(told[7][1], Ending.CONNECT_FAILED)
 
     def test_datagrams_of_strangers_and_too_long_ones_are_dropped(self) -> None:
         told: list[api.PeerMessage] = []
