Let go of silent and half requests within 3 s, the silent first when clients crowd

At fault in petrelhall/net/front.py: HALF_MS of 10 s for half a request and no bound at all for a silent connection; Front.make_room, which let one idle connection go every 20 ms, the longest idle first, so usual clients went before the silent, and never took half requests. Ruled out: parsing (those that sent something whole had their error) and CPU. Where clients crowd, 8 go at once: those that never asked, then half requests, then the longest idle. Also, each a case in a test: an X-Request-Id in hand, a header that came twice, 1_0 and other numbers that only Python reads, a method or body that the class does not have, HTTP other than 1.x: 400. A body that nobody wants is dropped in the kernel (MSG_TRUNC). Unread bytes kept for a connection: 96 KiB, were 256.

--- a/petrelhall/net/front.py
+++ b/petrelhall/net/front.py
@@ -18,8 +18,13 @@
 BACKLOG = 1024
 AT_ONCE = 64  # connections taken in one turn
 PAUSE_MS = 20.0  # in which no connection is taken when there are no descriptors
-HALF_MS = 10000.0  # within which a request that has begun to come must be whole
-LINGER_MS = 500.0  # in which a client may read an answer that came before it had said all
+# A first request must be whole within FIRST_MS of connecting, however slowly it trickles in, and a later one
+# within WHOLE_MS of its first byte; a connection without a request is kept for IDLE_MS.
+FIRST_MS, WHOLE_MS, IDLE_MS = 2200.0, 2200.0, 8000.0
+SWEEP_MS = 200.0  # between two looks for connections whose time is up
+ROOM = 8  # connections ended at once where there are too many
+SEND_MS = 10000.0  # in which a client must have read its answer
+LINGER_MS = 400.0  # in which a client may read an answer that came before it had said all
 ASK_TO_LEAVE_MS, CLOSE_MS = 450.0, 800.0  # after being told to end: clients still come for up to 400 ms
 
 
@@ -37,7 +42,10 @@
     """One client's connection."""
 
     def __init__(self, stream: Stream) -> None:
-        self.stream, self.http, self.busy, self.idle_since = stream, ServerSide(stream), False, now_ms()
+        self.stream, self.http = stream, ServerSide(stream)
+        self.busy = self.answered = self.begun = False  # one request in hand; any answered; the next begun
+        self.since = now_ms()  # when it connected, or was last answered
+        self.until = self.since + FIRST_MS  # when it is over, unless a request is whole by then
 
     @property
     def gone(self) -> bool:
@@ -53,6 +61,7 @@
         self.loop, self.wording, self.desk, self.ready = loop, wording, desk, ready
         self.counts, self.log, self.most = counts, log, most
         self.clients: set[Client] = set()
+        self.names: set[bytes] = set()  # of the requests in hand
         self.leaving = False  # clients are asked to leave with their next answer
         self.closing = False  # idle clients are closed
         self.on_empty: Callable[[], None] = lambda: None
@@ -60,8 +69,9 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
-        self.accepting = self.starved = False
+        self.accepting = self.starved = self.crowded = False
         self.accept_more()
+        loop.after(SWEEP_MS, self.sweep)
 
     # Taking connections
 
@@ -87,7 +97,9 @@
         """Take one connection; False where there is none, or no room."""
         if len(self.clients) >= self.most and not self.closing:
             self.accept_less()
-            self.loop.after(0.0, self.make_room)
+            if not self.crowded:
+                self.crowded = True
+                self.loop.after(0.0, self.make_room)
             return False
         try:
             sock, _ = self.listener.accept()
@@ -110,19 +122,32 @@
         return True
 
     def make_room(self) -> None:
-        """Close the client that has been idle longest, where there are too many, and go on."""
-        idle = [c for c in self.clients if not c.busy and not c.http.begun and not c.stream.incoming]
-        if idle and len(self.clients) >= self.most:
-            oldest = min(idle, key=lambda c: c.idle_since)
-            oldest.stream.receive()
-            if not oldest.stream.incoming:
-                oldest.stream.end(0)
-            oldest.stream.notify()
+        """Let go of some clients where there are too many, and go on.
+
+        First those that never asked for anything, longest there first: hundreds that say nothing must not
+        keep out those that ask. Then half requests, then whoever has been idle longest.
+        """
+        self.crowded = False
         if len(self.clients) >= self.most:
-            self.loop.after(PAUSE_MS, self.make_room)
+            free = [client for client in self.clients if not client.busy]
+            free.sort(key=lambda c: (c.answered, c.http.begun, c.since))
+            for client in free[:ROOM]:
+                self.counts.add("connections", "made_room")
+                client.until = 0.0
+                client.stream.notify()
+            self.crowded = True
+            self.loop.after(0.0 if free else PAUSE_MS, self.make_room)
         else:
             self.accept_more()
 
+    def sweep(self) -> None:
+        """Wake the connections whose time is up; one look at all costs less than a timer for each."""
+        self.loop.after(SWEEP_MS, self.sweep)
+        now = now_ms()
+        for client in self.clients:
+            if not client.busy and client.until <= now:
+                client.stream.notify()
+
     # Conversations
 
     def converse(self, client: Client) -> Steps[None]:
@@ -152,35 +177,42 @@
             keep = client.http.answer(status, [], body, self.leaving)
         else:
             request = self.wording.request(asked) if isinstance(asked, Message) else asked
+            if isinstance(request, Request) and request.name in self.names:
+                request = Broken(400, "a request of that name is in hand")  # which goes on undisturbed
             if isinstance(request, Broken):
                 self.counts.add("answered", f"bad_{request.status}")
                 answer = request
             else:
-                answer = yield from self.desk.serve(request, client)
+                self.names.add(request.name)
+                try:
+                    answer = yield from self.desk.serve(request, client)
+                finally:
+                    self.names.discard(request.name)
                 if answer is None:
                     return False
             last = self.leaving or isinstance(asked, Broken)
             keep = client.http.answer(*self.wording.answer(answer), last)
         yield from self.sent(client)
-        if not keep:
+        if not keep and not (isinstance(asked, Broken) and asked.status == 408):  # of that, nothing is unread
             yield from self.linger(client)
-        client.busy, client.idle_since = False, now_ms()
+        client.busy, client.answered, client.begun, client.since = False, True, False, now_ms()
+        client.until = client.since + IDLE_MS
         return keep and not client.gone
 
     def asked(self, client: Client) -> Steps[Message | Broken | None]:
         """Wait for a whole request; None where the connection ends between requests."""
-        half = None
         while True:
             asked = client.http.request()
             if asked is not None or client.gone:
-                if half is not None:
-                    half.cancel()
                 return asked
-            if client.http.begun and half is None:
-                half = self.loop.after(HALF_MS, self.loop.this_task().wake)
-            elif half is not None and now_ms() >= half.when:
-                return Broken(408, "request did not come whole")
-            if self.closing and not client.http.begun:
+            begun, now = client.http.begun, now_ms()
+            if begun and not client.begun:
+                client.begun = True
+                if client.answered:
+                    client.until = now + WHOLE_MS
+            if now >= client.until or (self.closing and not begun):
+                if begun:
+                    return Broken(408, "request did not come whole")
                 # What the kernel already holds has been taken: it is answered before the connection ends.
                 client.stream.receive()
                 if not client.stream.incoming:
@@ -192,7 +224,7 @@
         """Wait until an answer has gone out; a client that does not read it may not stay for ever."""
         if not client.stream.outgoing:
             return
-        until = now_ms() + HALF_MS
+        until = now_ms() + SEND_MS
         timer = self.loop.at(until, self.loop.this_task().wake)
         while client.stream.outgoing and not client.gone:
             if now_ms() >= until:
@@ -204,10 +236,10 @@
     def linger(self, client: Client) -> Steps[None]:
         """End our side first: closing on unread bytes would reset the connection and could eat the answer."""
         client.stream.finish_sending()
+        client.stream.discard()
         until = now_ms() + LINGER_MS
         timer = self.loop.at(until, self.loop.this_task().wake)
         while not client.gone and now_ms() < until:
-            client.stream.take()
             yield
         timer.cancel()
 
--- a/petrelhall/net/http1.py
+++ b/petrelhall/net/http1.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 
 import h11
@@ -15,12 +16,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """A whole request; the names of its headers are in lower case."""
+    """A whole request; the names of its headers are in lower case, and those that came twice are told."""
 
     method: bytes
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
+    repeated: frozenset[bytes] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +47,11 @@
     return {name.lower(): value for name, value in head.headers.raw_items()}
 
 
+def repeated(head: h11.Request) -> frozenset[bytes]:
+    """Give the names of the headers that came more than once."""
+    return frozenset(name for name, times in Counter(name for name, _ in head.headers).items() if times > 1)
+
+
 def stated_length(head: h11.Request | h11.Response) -> int | None:
     """Give the length that a head says its body has; h11 has seen to its being a number."""
     return next((int(value) for name, value in head.headers if name == b"content-length"), None)
@@ -83,6 +90,8 @@
                 if isinstance(event, h11.Request):
                     self.asked = event
                     self.body.clear()
+                    if not event.http_version.startswith(b"1."):
+                        return Broken(400, "another version of HTTP")
                     if ambiguous(event):  # another request may hide in its body
                         return Broken(400, "both Content-Length and Transfer-Encoding")
                     if (stated_length(event) or 0) > MOST_BODY:
@@ -93,7 +102,8 @@
                         return Broken(413, "body too large")
                 elif isinstance(event, h11.EndOfMessage) and self.asked is not None:
                     asked, self.asked = self.asked, None
-                    return Message(asked.method, asked.target, by_name(asked), bytes(self.body))
+                    return Message(asked.method, asked.target, headers := by_name(asked), bytes(self.body),
+                                   repeated(asked) if len(headers) < len(asked.headers) else frozenset())
         except h11.RemoteProtocolError as error:
             return Broken(error.error_status_hint, str(error))
 
--- a/petrelhall/net/platform.py
+++ b/petrelhall/net/platform.py
@@ -14,14 +14,20 @@
 PATH, READY = b"/api", b"/healthz"
 DEADLINE = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])", re.ASCII)
 FIGURE = re.compile(r"\d{1,12}(?:\.\d{1,12})?(?:e-?\d{1,2})?", re.ASCII)
+NUMBER, WHOLE = re.compile(rb"\d{1,9}(?:\.\d{1,9})?"), re.compile(rb"\d{1,4}")  # not all that Python reads
+METERING = {b"units": NUMBER, b"spread": WHOLE, b"first": WHOLE}
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 MOST_CUSTOMERS = 2**33
+ONCE = frozenset((  # headers that may come once only
+    b"host", b"x-request-id", b"x-class", b"x-contract", b"x-deadline", b"x-metering", b"x-retry",
+    b"idempotency-key", b"content-type",
+))
 PASSED_ON = (b"host", b"x-request-id", b"idempotency-key", b"content-type")
 EARLY_MS = 15.0  # a deadline counts from the client's send: the way here, the way back and our own turn
 # Names of load figures on the sockets, and in the settings.
 FIGURES = {"inflight": "rif", "queue": "q", "util": "busy", "latency_ms": "lat_ms", "qps": "rate",
            "eps": "fail_rate"}
-REASONS = {400: b"bad request", 404: b"not found", 413: b"body too large"}
+REASONS = {400: b"bad request", 404: b"not found", 408: b"too slow", 413: b"body too large"}
 
 
 class Refusal(ValueError):
@@ -54,19 +60,27 @@
             return Broken(404, "unknown path")
         headers = message.headers
         try:
+            if message.repeated & ONCE:  # we and a server could each read another of the two
+                raise Refusal("a header came twice")
             index = self.classes.get(headers.get(b"x-class", b""))
             plan = self.plans.get(headers.get(b"x-contract", b""))
             if index is None or plan is None:
                 raise Refusal("X-Class or X-Contract missing or unknown")
             if not headers.get(b"x-request-id"):
                 raise Refusal("X-Request-Id missing")
-            keyed = self.settings.classes[index].effect is api.Effect.KEYED
+            effect = self.settings.classes[index].effect
+            safe = effect is api.Effect.REPEATABLE
+            if message.method != (b"GET" if safe else b"POST") or (safe and message.body):
+                raise Refusal("the class asks for another method, or for no body")
+            keyed = effect is api.Effect.KEYED
             if keyed and not headers.get(b"idempotency-key"):
                 raise Refusal("Idempotency-Key missing")
             units, spread = self.metering(headers.get(b"x-metering", b""))
+            left = min(deadline(headers.get(b"x-deadline", b"")), self.settings.classes[index].deadline_ms)
             return Request(
-                index, plan, customer(query), deadline(headers.get(b"x-deadline", b"")), units, spread,
+                index, plan, customer(query), left, units, spread,
                 headers.get(b"x-retry") == b"1", Spoken(message, passed_on(message)),
+                headers[b"x-request-id"],
             )
         except Refusal as error:
             return Broken(400, str(error))
@@ -74,11 +88,10 @@
     def metering(self, value: bytes) -> tuple[float, int]:
         """Read the units and the size of the customer's set."""
         fields = dict(part.strip().partition(b"=")[::2] for part in value.split(b","))
-        try:
-            units = float(fields[b"units"])
-            spread, first = int(fields[b"spread"]), int(fields[b"first"])
-        except (KeyError, ValueError):
-            raise Refusal("X-Metering missing or malformed") from None
+        told = value.count(b"=") == len(fields)  # each once
+        if not told or any(not form.fullmatch(fields.get(name, b"")) for name, form in METERING.items()):
+            raise Refusal("X-Metering missing or malformed")
+        units, spread, first = float(fields[b"units"]), int(fields[b"spread"]), int(fields[b"first"])
         gateways, largest = self.settings.gateways, self.settings.largest_units
         if not (0.0 < units <= largest and 0 < spread <= gateways and 0 <= first < gateways):
             raise Refusal("X-Metering out of range")
--- a/petrelhall/net/requests.py
+++ b/petrelhall/net/requests.py
@@ -52,6 +52,7 @@
     set_size: int
     repeat: bool
     message: Any
+    name: bytes = b""  # the client's own, none other in hand has it
 
 
 class Caller(Protocol):
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -10,7 +10,8 @@
 from petrelhall.net.loop import Loop
 
 CHUNK = 65536
-MOST_UNREAD = 262144  # bytes kept for a reader that is busy; the kernel holds the rest
+MOST_UNREAD = 98304  # bytes kept for a reader that is busy; the kernel holds the rest
+SINK = bytearray(1 << 20)  # where what nobody wants would go: the kernel drops it and writes nothing here
 IN = select.EPOLLIN | select.EPOLLRDHUP
 
 NEW_SOCKET = socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC
@@ -22,13 +23,13 @@
     """One connection. ``notify`` is called whenever something about it has changed."""
 
     __slots__ = ("loop", "sock", "fd", "notify", "connecting", "ended", "error", "incoming", "outgoing",
-                 "mask")
+                 "mask", "unwanted")
 
     def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object],
                  connecting: bool = False) -> None:
         self.loop, self.sock, self.fd, self.notify = loop, sock, sock.fileno(), notify
         self.connecting, self.ended, self.error = connecting, False, 0
-        self.incoming, self.outgoing = bytearray(), bytearray()
+        self.incoming, self.outgoing, self.unwanted = bytearray(), bytearray(), False
         self.mask = select.EPOLLOUT if connecting else IN
         loop.register(self.fd, self.mask, self.on_ready)
 
@@ -53,6 +54,10 @@
         if self.ended or self.connecting or len(self.incoming) > MOST_UNREAD:
             return self.watch()
         try:
+            if self.unwanted:
+                if not self.sock.recv_into(SINK, 0, socket.MSG_TRUNC):
+                    self.end(0)
+                return
             data = self.sock.recv(CHUNK)
         except (BlockingIOError, InterruptedError):
             return
@@ -71,6 +76,11 @@
         self.watch()
         return data
 
+    def discard(self) -> None:
+        """Let all that comes from now on be dropped in the kernel: a body of 60 MB is not worth a copy."""
+        self.unwanted = True
+        self.take()
+
     def write(self, data: bytes) -> None:
         """Send as much as goes at once and keep the rest for later."""
         if not self.ended:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import selectors
 import signal
 import socket
+import time
 import unittest
 import unittest.mock
 from typing import Any
@@ -24,6 +25,7 @@
 from petrelhall.net.platform import Platform
 from petrelhall.net.pool import Pool
 from petrelhall.net.requests import Desk, Reach, Refused, Request
+from petrelhall.net.stream import Stream
 from petrelhall.settings import SettingsError, read_settings
 from tests.peers import PATIENCE_S, PROFILE, Story, address, ask, entry, listen, read_message, reply
 
@@ -214,6 +216,11 @@
             (400, ask(deadline="soon")), (400, ask(deadline="0m")), (400, ask(X_Metering=None)),
             (400, ask(X_Metering="units=1,spread=9,first=0")), (400, ask(X_Request_Id=None)),
             (400, ask(Content_Length="3", Transfer_Encoding="chunked") + b"0\r\n\r\n"),
+            (400, ask(X_Metering="units=1_0,spread=1,first=0")), (400, ask(x_class="change")),
+            (400, ask(X_Metering="units=nan,spread=1,first=0")),
+            (400, ask(X_Metering="units=1,units=1,spread=1,first=0")),
+            (400, ask().replace(b"GET", b"POST", 1)), (400, ask(Content_Length="1") + b"x"),
+            (400, ask().replace(b"HTTP/1.1", b"HTTP/2.0", 1)),
             (400, ask(kind="change")), (400, ask().replace(b"client=0000", b"client=zzzz")),
             (404, ask().replace(b"/api", b"/elsewhere")),
             (413, ask(Content_Length="70000") + b"x" * 66000),
@@ -224,11 +231,58 @@
         client = self.client(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertTrue(read_message(client).startswith(b"HTTP/1.1 200"))
         counts = self.stop()
-        self.assertIn("answered.bad_400=11 answered.bad_404=1 answered.bad_413=1", counts)
+        self.assertIn("answered.bad_400=18 answered.bad_404=1 answered.bad_413=1", counts)
         self.assertNotIn("taken.", counts)
         server.settimeout(0)
         self.assertRaises(BlockingIOError, server.accept)
 
+    def test_a_request_of_a_name_that_is_in_hand_is_told_so_and_the_first_goes_on(self) -> None:
+        server = self.listener()
+        self.start(server)
+        client = self.client(ask(1))
+        at_server = self.accept(server)
+        read_message(at_server)
+        other = self.client(ask(1))
+        self.assertTrue(read_message(other).startswith(b"HTTP/1.1 400"))
+        at_server.sendall(reply(b"first"))
+        self.assertTrue(read_message(client).endswith(b"first"))
+        other.sendall(ask(1))  # free again
+        read_message(at_server)
+        at_server.sendall(reply(b"again"))
+        self.assertTrue(read_message(other).endswith(b"again"))
+
+    def test_who_says_nothing_or_half_is_let_go_within_three_seconds_however_it_trickles(self) -> None:
+        server = self.listener()
+        self.start(server)
+        begin = time.monotonic()
+        silent, half, trickling = self.client(), self.client(ask()[:50]), self.client()
+        later = self.client(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertTrue(read_message(later).startswith(b"HTTP/1.1 200"))
+        later.sendall(ask()[:50])
+        with selectors.DefaultSelector() as selector:
+            selector.register(trickling, selectors.EVENT_READ)
+            while not selector.select(0.1) and time.monotonic() < begin + PATIENCE_S:
+                trickling.sendall(b"G")
+        for client in trickling, half, later:
+            self.assertTrue(read_message(client).startswith(b"HTTP/1.1 408"))
+        self.assertEqual(silent.recv(100), b"")
+        self.assertLess(time.monotonic(), begin + 3.0)
+
+    def test_hundreds_that_say_nothing_do_not_keep_out_those_that_ask(self) -> None:
+        server = self.listener()
+        self.start(server, sockets=100)
+        health = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+        usual = self.client(health)
+        read_message(usual)
+        silent = [self.client() for _ in range(150)]
+        begin = time.monotonic()
+        for _ in range(3):
+            self.assertTrue(read_message(self.client(health)).startswith(b"HTTP/1.1 200"))
+        usual.sendall(health)  # whoever has asked before is the last to go
+        self.assertTrue(read_message(usual).startswith(b"HTTP/1.1 200"))
+        self.assertLess(time.monotonic(), begin + 1.0)
+        self.assertEqual(silent[0].recv(100), b"")
+
     def test_clients_beyond_the_descriptors_are_all_answered(self) -> None:
         server = self.listener()
         self.start(server, sockets=70)
@@ -521,6 +575,18 @@
         peers.send(b"y" * 256)
         self.assertEqual(peer.recv(300), b"y" * 256)
 
+    def test_what_nobody_wants_is_dropped_and_kept_nowhere(self) -> None:
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        ours.setblocking(False)
+        stream = Stream(self.loop, ours, lambda: None)
+        self.addCleanup(stream.close)
+        stream.discard()
+        theirs.sendall(b"x" * 100000)
+        theirs.shutdown(socket.SHUT_WR)
+        self.turn_until(lambda: stream.ended)
+        self.assertFalse(stream.incoming)
+
     def test_a_log_that_nobody_reads_stops_nothing(self) -> None:
         reader, writer = os.pipe()
         self.addCleanup(os.close, reader)
