--- a/petrelhall/state.py
+++ b/petrelhall/state.py
@@ -67,7 +67,7 @@
     def send(self, units: float, rate: float) -> None:
         """Book what is sent on for it, beside the quota."""
         self.cap, self.cut_store = self.cap - units, self.cut_store - units
-        self.sent, self.open = self.sent + rate, self.open + 1
+        self.sent += rate
 
     def leave_column(self) -> None:
         """Lose the column and what followed from it."""
@@ -129,7 +129,8 @@
     overdue: bool = False  # and counted as slow
 
     def start(self, link: Link, now: float) -> None:
-        """Book a new attempt."""
+        """Book a new attempt; each counts as out, a later one of a request too, since each books its end."""
+        self.customer.open += not self.waiting
         link.cold_store, link.sent = link.cold_store - (link.cold_since is not None), now
         link.out, link.heard = link.out + 1.0, link.heard if link.out else now
         self.attempts.append(Attempt(link, now))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -276,6 +276,19 @@
     assert isinstance(door.ask(), Refuse)
 
 
+def test_attempts_that_follow_a_failed_one_leave_the_cap_on_attempts_out_as_it_is() -> None:
+    plan = Plan(rate=1000, burst=1000, max_open=2)
+    door = Door(replace(SETTINGS, plans=(plan,), gateways=1))
+    for _ in range(4):
+        first = door.ask(spread=1)
+        assert isinstance(first, Send)
+        (second,) = sends(door.answer(first, Ending.ERROR))
+        door.answer(second, Ending.OK, attempt=1)
+    assert door.gateway.customers["a"].open == 0
+    assert isinstance(door.ask(spread=1), Send) and isinstance(door.ask(spread=1), Send)
+    assert isinstance(door.ask(spread=1), Refuse)
+
+
 def test_no_counter_call_for_a_request_that_cannot_wait_for_it() -> None:
     door = Door(replace(SETTINGS, counter=True, counter_wait_ms=80))
     assert any(isinstance(a, Send) for a in door.feed(Arrival(1, 0, 1, "a", 100, 1, 2)))
