--- a/petrelhall/policy.py
+++ b/petrelhall/policy.py
@@ -29,6 +29,7 @@
 ASK_MIN, ASK_CUT, ASK_STEP, ASK_HASTE = 0.1, 0.7, 0.04, 0.2  # share of tries that call; growth/s; where clear
 SHARE_GAIN, KNOWN, PUT_RIGHT = 0.2, 0.9, 0.25  # weight of a verdict; share borne; of a burst worth a call
 PASS_MIN, PASS_GAIN, PASS_MS = 0.05, 0.5, 4000.0  # share let in by the meter: least, step at most, its pace
+BACK_MS = 50.0  # least wait that a refusal advises
 OPEN_RISK = 0.05  # chance that the others hold the rest of a cap on attempts out, up to which one more goes
 # Servers
 LATENCY_GAIN, FLEET_GAIN, FAULT_GAIN = 0.15, 0.03, 0.05  # weight of an answer: server, fleet, class
@@ -409,10 +410,16 @@
             job.customer.unsaid -= job.told  # granted, not used: the next call takes it back
         keyed = job.kind.effect is Effect.KEYED and job.kind.group == "all"
         harmless = job.kind.effect is Effect.REPEATABLE or keyed or job.never_ran
-        refusal = api.Refuse(job.id, self.settings.max_retry_after_ms)
+        refusal = api.Refuse(job.id, min(self.advice(job), self.settings.max_retry_after_ms))
         self.actions.append(refusal if harmless else api.Fail(job.id))
         self.end(job.event)
 
+    def advice(self, job: Job) -> float:
+        """Say when to come back: soon where only the cap on attempts out was in the way, else late."""
+        if job.capped and not self.pressed:
+            return max(BACK_MS, statistics.fmean(self.latency.values()))
+        return math.inf
+
     def end(self, event: api.Event) -> None:
         """Owe nothing more; call off copies still out, and forget the request with the last of them."""
         job = self.jobs.get(getattr(event, "request", -1))
@@ -470,6 +477,7 @@
             self.room_store, self.paced_at = min(2.0 + 0.5 * self.pace, self.room_store + fill), self.now
             most = 1.0 + self.pace * PACE_OUT * job.kind.aim_ms / 1000.0  # Little's law: before answers tell
             refused = refused or self.room_store < (1.0 if known else DOUBT) or self.out >= most
+        job.capped = not refused and customer.plan.max_open > 0 and self.crowded(customer)
         granted = not refused and self.within_quota(customer, units, job.verdict)
         link = self.pick(job) if granted else None
         if link is None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -276,6 +276,20 @@
     assert isinstance(door.ask(), Refuse)
 
 
+def test_a_refusal_for_the_cap_on_attempts_out_says_to_come_back_soon_and_others_late() -> None:
+    plans = Plan(rate=1000, burst=1000, max_open=1), Plan(rate=2, burst=4)
+    door = Door(replace(SETTINGS, plans=plans, gateways=1, max_retry_after_ms=2000))
+    assert isinstance(door.ask(), Send)
+    capped = door.ask()
+    assert isinstance(capped, Refuse) and capped.retry_after_ms < 500
+    for _ in range(9):
+        beyond = door.ask(plan=1, who="b")
+    assert isinstance(beyond, Refuse) and beyond.retry_after_ms == 2000
+    door.gateway.pressed = True
+    capped = door.ask()
+    assert isinstance(capped, Refuse) and capped.retry_after_ms == 2000
+
+
 def test_attempts_that_follow_a_failed_one_leave_the_cap_on_attempts_out_as_it_is() -> None:
     plan = Plan(rate=1000, burst=1000, max_open=2)
     door = Door(replace(SETTINGS, plans=(plan,), gateways=1))
