Tell peers at once how many attempts a capped customer has out, and go by what they tell

Looked at: the traced sends; Gateway.crowded in petrelhall/policy.py let every gateway have one attempt out whatever the others had (its even slice of a cap of two, never under one, on four gateways) and guessed the rest from rates over 3 s, where an attempt lasts 80 ms. Tests: told attempts hold a slot, expire, and are told at once but not too often.

--- a/petrelhall/policy.py
+++ b/petrelhall/policy.py
@@ -30,7 +30,8 @@
 SHARE_GAIN, KNOWN, PUT_RIGHT = 0.2, 0.9, 0.25  # weight of a verdict; share borne; of a burst worth a call
 PASS_MIN, PASS_GAIN, PASS_MS = 0.05, 0.5, 4000.0  # share let in by the meter: least, step at most, its pace
 BACK_MS = 50.0  # least wait that a refusal advises
-OPEN_RISK = 0.05  # chance that the others hold the rest of a cap on attempts out, up to which one more goes
+OPEN_LAG_MS, OPEN_RISK = 30.0, 0.2  # ms that news of an attempt is old; chance that the cap is full: at most
+OPEN_MS, OPEN_SHARE = 300.0, 0.9  # for which a told attempt counts; share of what a peer takes in, at most
 # Servers
 LATENCY_GAIN, FLEET_GAIN, FAULT_GAIN = 0.15, 0.03, 0.05  # weight of an answer: server, fleet, class
 FORGIVE_MS, REPORT_MS, TRUST_MS = 8000.0, 500.0, 20000.0  # ms in which slowness, a report, trust lose half
@@ -51,7 +52,7 @@
 RETRY_SHARE, RETRY_CAP = 0.15, 15.0  # retry budget: earned by a first attempt; most that is saved
 OVERDUE, OVERDUE_MIN, OVERDUE_MAX = 3.0, 0.2, 0.5  # mean latencies, within shares of the aim
 AIM_MARGIN, WINDOW_MARGIN = 0.98, 0.9  # share of the aim, of a keyed window, that is used
-FIRST_TOKEN = 3  # timers: 0 interval, 1 peers, 2 list, then one for each request
+FIRST_TOKEN = 4  # timers: 0 interval, 1 and 3 peers, 2 list, then one for each request
 
 
 class Gateway(Memory):
@@ -63,6 +64,8 @@
         self.first_limit = max(LIMIT_MIN, LIMIT_START / settings.gateways)
         gap = 1000.0 * settings.gateways / max(1.0, MAIL_SHARE * settings.peer_messages_per_s)
         self.tell_gap, self.peers = max(TICK_MS, gap), peers and (gap < NEWS_MS / 3 or not settings.counter)
+        mail = max(1.0, OPEN_SHARE * settings.peer_messages_per_s)
+        self.open_gap = 1000.0 * max(1, settings.gateways - 1) / mail
         self.counter = settings.counter and not self.peers
         self.metered = settings.meter_ms > 0 and not self.counter and not self.peers
         self.latency = {kind: FIRST_GUESS * kind.aim_ms for kind in settings.classes}  # ms a unit
@@ -110,20 +113,47 @@
         return borrow or within or (self.metered and customer.bucket >= units)
 
     def crowded(self, customer: Customer) -> bool:
-        """Tell whether a customer has all attempts out that its plan allows, likely with the others'.
+        """Tell whether a customer likely has all attempts out that its plan allows, with those of its peers.
 
-        What the others keep out follows from their told rate (Little's law) and scatters as Poisson's does;
-        until peers were heard for a while the even slice holds.
+        A peer says again and again what is out, so that its silence is soon taken for its end. Until peers
+        were heard for a while the even slice holds.
         """
         left = customer.plan.max_open - customer.open
-        slice_left = max(1, int(customer.plan.max_open * customer.even)) - customer.open
         unheard = self.now - max(self.started, self.peers_at) > NEWS_MS or self.now - self.started < RATE_MS
-        if slice_left > 0 or left <= 0 or not self.peers or unheard:
-            return slice_left <= 0
-        out = customer.others * statistics.fmean(self.latency.values()) / 1000.0
-        fewer = math.exp(-out) * sum(out**n / math.factorial(n) for n in range(left))
+        if left <= 0 or not self.peers or unheard:
+            return max(1, int(customer.plan.max_open * customer.even)) <= customer.open or left <= 0
+        left -= int(sum(out for out, at in customer.elsewhere.values() if at > self.now - OPEN_MS))
+        begun = customer.others * OPEN_LAG_MS / 1000.0  # theirs since: it scatters as Poisson's does
+        fewer = math.exp(-begun) * sum(begun**n / math.factorial(n) for n in range(left))
         return 1.0 - fewer > OPEN_RISK
 
+    def mean_latency(self) -> float:
+        """Give the ms that an attempt lasts in the mean."""
+        return statistics.fmean(self.latency.values())
+
+    def tell_open(self, customer: Customer) -> None:
+        """Tell peers how many attempts are out, at once where the last message is old enough.
+
+        An attempt is over in the time of a few messages, so that a tick would come too late.
+        """
+        if not self.peers or customer.plan.max_open <= 0:
+            return
+        self.opened[customer.code] = self.outs[customer.code] = customer.open
+        if not customer.open:
+            del self.outs[customer.code]
+        wait = self.told_at + self.open_gap - self.now
+        if wait <= 0.0:
+            self.tell_peers()
+        elif not self.tell_due:
+            self.tell_due = True
+            self.actions.append(api.SetTimer(wait, 3))
+
+    def tell_peers(self) -> None:
+        """Send what peers were not told yet, as far as a message holds it."""
+        content, self.told, self.opened = gossip.pack(self.told, self.opened)
+        self.actions.append(api.Tell(content))
+        self.told_at = self.now
+
     def others_used(self, customer: Customer, units: float) -> None:
         """Book what other gateways sent on; what a full store would have lost pays first."""
         self.refill(customer)
@@ -212,11 +242,15 @@
     def on_peermessage(self, event: api.PeerMessage) -> None:
         """Book a peer's use; where a counter measures, the share of demand that it found instead."""
         self.peers_at = self.now
-        for code, told in gossip.decode(event.content):
+        uses, opens = gossip.decode(event.content)
+        for code, told in uses:
             if code in self.codes and self.peers:
                 self.others_used(self.codes[code], told)
             elif not self.peers:
                 self.remember(code, told, MOST_SHARES)
+        for code, out in opens:
+            if code in self.codes:
+                self.codes[code].elsewhere[event.sender] = out, self.now
 
     # Correlation and cut
 
@@ -417,7 +451,7 @@
     def advice(self, job: Job) -> float:
         """Say when to come back: soon where only the cap on attempts out was in the way, else late."""
         if job.capped and not self.pressed:
-            return max(BACK_MS, statistics.fmean(self.latency.values()))
+            return max(BACK_MS, self.mean_latency())
         return math.inf
 
     def end(self, event: api.Event) -> None:
@@ -490,6 +524,7 @@
             self.told[customer.code] = self.told.get(customer.code, 0.0) + units
         self.retries = min(RETRY_CAP, self.retries + RETRY_SHARE)
         self.send(job, link)
+        self.tell_open(customer)
 
     def on_outcome(self, event: api.Outcome) -> None:
         """Book the attempt, learn from it, and answer or try again where the answer is still owed."""
@@ -509,6 +544,7 @@
             self.end(event)
         elif not job.waiting and not self.again(job, float(ran or event.ending is Ending.FULL)):
             self.finish(job)
+        self.tell_open(customer)
 
     def on_alarm(self, event: api.Alarm) -> None:
         """Timers: the interval, the tick to peers, following the list, and hedges by request."""
@@ -517,9 +553,13 @@
             self.close_interval()
         elif event.token == 1:
             self.actions.append(api.SetTimer(self.tell_gap * (0.5 + self.random.random()), 1))  # not in step
-            if self.told:
-                content, self.told = gossip.pack(self.told)
-                self.actions.append(api.Tell(content))
+            self.opened = self.outs | self.opened
+            if (self.told or self.opened) and self.now - self.told_at >= self.open_gap:
+                self.tell_peers()
+        elif event.token == 3:
+            self.tell_due = False
+            if self.opened:
+                self.tell_peers()
         elif event.token == 2:
             self.actions.append(api.Subscribe())
         elif job is not None and not job.ended and len(job.attempts) == 1 and self.stalled < self.now:
--- a/petrelhall/state.py
+++ b/petrelhall/state.py
@@ -36,6 +36,7 @@
     unsaid: float = 0.0  # to be added with the next call
     total_of: int = -1  # and the name that it was of
     open: int = 0
+    elsewhere: dict[int, tuple[float, float]] = field(default_factory=dict)  # out at each peer, and when told
     pairs: list[tuple[float, float]] = field(default_factory=list)  # the column: units and pressure
     runs: int = 0  # tests in a row that flagged it
     cut_rate: float = 0.0
@@ -200,6 +201,10 @@
     columns: dict[int, Customer] = field(default_factory=dict)  # the busiest, by code
     asked: dict[int, Customer] = field(default_factory=dict)  # seen in this interval, by code
     told: dict[int, float] = field(default_factory=dict)  # units since the last message, by code
+    opened: dict[int, int] = field(default_factory=dict)  # attempts out that peers were not told of, by code
+    outs: dict[int, int] = field(default_factory=dict)  # attempts out of capped customers that have any
+    told_at: float = -math.inf  # when peers were last told anything
+    tell_due: bool = False  # whether a timer stands for telling them of attempts out
     peers_at: float = -math.inf  # when a peer was last heard
     links: dict[str, Link] = field(default_factory=dict)
     jobs: dict[int, Job] = field(default_factory=dict)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -263,17 +263,44 @@
     assert isinstance(here.ask(plan=1), Refuse)
 
 
-def test_a_cap_on_attempts_out_is_shared_by_what_the_others_likely_keep_out() -> None:
+def test_a_cap_on_attempts_out_is_shared_by_what_the_others_say_is_out() -> None:
     plan = Plan(rate=100, burst=200, max_open=3)
     door = Door(replace(SETTINGS, plans=(plan,), peers=True, peer_messages_per_s=60))
     assert isinstance(door.ask(), Send) and isinstance(door.ask(), Refuse)  # unheard: the even slice, 3 // 2
     door.now += policy.RATE_MS
-    door.feed(PeerMessage(1, gossip.encode([])))
-    assert isinstance(door.ask(), Send)  # the other keeps nothing out
-    code = door.known("a").code
-    door.feed(PeerMessage(1, gossip.encode([(code, 60)])))  # 20 a second, four of them out
+    code = door.known("a").code  # a second is out
+    door.feed(PeerMessage(1, gossip.encode([], [(code, 1)])))
+    assert isinstance(door.ask(), Refuse)
+    door.feed(PeerMessage(1, gossip.encode([], [(code, 0)])))
+    assert isinstance(door.ask(), Send)
     door.serve(Send(1, "s0"))
+    door.feed(PeerMessage(1, gossip.encode([], [(code, 1)])))
     assert isinstance(door.ask(), Refuse)
+    door.now += policy.OPEN_MS  # that it ended may have been lost
+    assert isinstance(door.ask(), Send)
+    door.feed(PeerMessage(1, gossip.encode([(code, 60)], [(code, 0)])))  # 20 a second: one may be new
+    assert isinstance(door.ask(), Refuse)
+
+
+def test_peers_hear_at_once_how_many_attempts_are_out_and_no_more_often_than_they_can() -> None:
+    plan = Plan(rate=100, burst=200, max_open=3)
+    door = Door(replace(SETTINGS, plans=(plan,), peers=True, peer_messages_per_s=60))
+
+    def out(actions: list[Action]) -> list[float]:
+        return [count for a in actions if isinstance(a, Tell) for _, count in gossip.decode(a.content)[1]]
+
+    first = door.feed(Arrival(1, 0, 0, "a", 3000, 1, 1))
+    assert out(first) == [1]
+    second = door.feed(Arrival(2, 0, 0, "a", 3000, 1, 1))
+    third = door.feed(Arrival(3, 0, 0, "a", 3000, 1, 1))
+    timers = [a for a in second + third if isinstance(a, SetTimer) and a.token == 3]
+    assert sends(third) and not out(second + third) and len(timers) == 1
+    door.now += timers[0].after_ms
+    assert out(door.feed(Alarm(3))) == [3]
+    door.now += 1000
+    assert out(door.answer(sends(first)[0], Ending.OK)) == [2]
+    door.now += 1000
+    assert out(door.feed(Alarm(1))) == [2]  # again: the word may have been lost
 
 
 def test_a_refusal_for_the_cap_on_attempts_out_says_to_come_back_soon_and_others_late() -> None:
