Take one reset for a connection's end; only refused connects or two in a row prove a server dead

At fault: Gateway.judge in petrelhall/policy.py, which took any RESET for a proof of death, and Pool in petrelhall/net/pool.py, which told CONNECT_FAILED of what had nothing to do with connecting (a kept connection that broke before the last byte, no descriptor, a server not in the list). Ruled out: CPU (0.18 of a core) and quota. Now one reset lowers trust like an error, two in a row or a failed connect eject; the other cases are MOOT. A kept connection that breaks under its request makes the pool keep idle ones for less long (1 s at least, back by 5% a second).

--- a/petrelhall/net/http1.py
+++ b/petrelhall/net/http1.py
@@ -49,28 +49,30 @@
 
 def repeated(head: h11.Request) -> frozenset[bytes]:
     """Give the names of the headers that came more than once."""
-    return frozenset(name for name, times in Counter(name for name, _ in head.headers).items() if times > 1)
+    times = Counter(name.lower() for name, _ in head.headers.raw_items())
+    return frozenset(name for name, count in times.items() if count > 1)
 
 
-def stated_length(head: h11.Request | h11.Response) -> int | None:
+def stated_length(headers: dict[bytes, bytes]) -> int | None:
     """Give the length that a head says its body has; h11 has seen to its being a number."""
-    return next((int(value) for name, value in head.headers if name == b"content-length"), None)
+    value = headers.get(b"content-length")
+    return None if value is None else int(value)
 
 
-def ambiguous(head: h11.Request | h11.Response) -> bool:
+def ambiguous(headers: dict[bytes, bytes]) -> bool:
     """Tell whether a head frames its body in two ways: two readers could see its end in two places."""
-    named = {name for name, _ in head.headers}
-    return b"content-length" in named and b"transfer-encoding" in named
+    return b"content-length" in headers and b"transfer-encoding" in headers
 
 
 class ServerSide:
     """The side that takes requests, one at a time."""
 
-    __slots__ = ("stream", "http", "asked", "body")
+    __slots__ = ("stream", "http", "asked", "headers", "body")
 
     def __init__(self, stream: Stream) -> None:
         self.stream, self.http = stream, h11.Connection(h11.SERVER)
         self.asked: h11.Request | None = None
+        self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
 
     def request(self) -> Message | Broken | None:
@@ -88,13 +90,13 @@
                 if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                     return None
                 if isinstance(event, h11.Request):
-                    self.asked = event
+                    self.asked, self.headers = event, by_name(event)
                     self.body.clear()
                     if not event.http_version.startswith(b"1."):
                         return Broken(400, "another version of HTTP")
-                    if ambiguous(event):  # another request may hide in its body
+                    if ambiguous(self.headers):  # another request may hide in its body
                         return Broken(400, "both Content-Length and Transfer-Encoding")
-                    if (stated_length(event) or 0) > MOST_BODY:
+                    if (stated_length(self.headers) or 0) > MOST_BODY:
                         return Broken(413, "body too large")
                 elif isinstance(event, h11.Data):
                     self.body += event.data
@@ -102,8 +104,9 @@
                         return Broken(413, "body too large")
                 elif isinstance(event, h11.EndOfMessage) and self.asked is not None:
                     asked, self.asked = self.asked, None
-                    return Message(asked.method, asked.target, headers := by_name(asked), bytes(self.body),
-                                   repeated(asked) if len(headers) < len(asked.headers) else frozenset())
+                    twice = len(self.headers) < len(asked.headers)
+                    return Message(asked.method, asked.target, self.headers, bytes(self.body),
+                                   repeated(asked) if twice else frozenset())
         except h11.RemoteProtocolError as error:
             return Broken(error.error_status_hint, str(error))
 
@@ -143,11 +146,12 @@
 class ClientSide:
     """The side that asks, one request at a time."""
 
-    __slots__ = ("stream", "http", "head", "body", "interim")
+    __slots__ = ("stream", "http", "head", "headers", "body", "interim")
 
     def __init__(self, stream: Stream) -> None:
         self.stream, self.http, self.interim = stream, h11.Connection(h11.CLIENT), 0
         self.head: h11.Response | None = None
+        self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
 
     def ask(self, method: bytes, target: bytes, headers: Headers, body: bytes = b"") -> None:
@@ -172,12 +176,12 @@
                         return None
                     self.http.receive_data(b"")  # what it cuts short is broken
                 elif isinstance(event, h11.Response):
-                    self.head = event
+                    self.head, self.headers = event, by_name(event)
                     self.body.clear()
                     self.interim = 0
-                    length = stated_length(event)
-                    framed = length is not None or b"transfer-encoding" in by_name(event)
-                    if ambiguous(event) or not framed:  # a connection's end does not prove an answer whole
+                    length = stated_length(self.headers)
+                    framed = length is not None or b"transfer-encoding" in self.headers
+                    if ambiguous(self.headers) or not framed:  # a connection's end proves no answer whole
                         return Broken(502, "answer whose end is not told")
                     if (length or 0) > most:
                         return Broken(502, "answer too large")
@@ -187,7 +191,7 @@
                         return Broken(502, "answer too large")
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                     head, self.head = self.head, None
-                    return Reply(head.status_code, by_name(head), bytes(self.body))
+                    return Reply(head.status_code, self.headers, bytes(self.body))
                 elif isinstance(event, h11.InformationalResponse) and self.interim < MOST_INTERIM:
                     self.interim += 1
                 else:
--- a/petrelhall/net/pool.py
+++ b/petrelhall/net/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 from petrelhall.net.stream import Address, connect
 
 IDLE_SHARE = 0.8  # of a server's patience with an idle connection that is used
+LEAST_IDLE_MS, MORE_IDLE = 1000.0, 1.05  # what is used at least; growth a second, after it proved too much
 MOST_PER_SERVER = 64
 
 
@@ -41,10 +43,11 @@
 class Connection:
     """One connection to a server."""
 
-    __slots__ = ("server", "address", "http", "idle_since")
+    __slots__ = ("server", "address", "http", "idle_since", "used")
 
     def __init__(self, server: str, address: Address, http: ClientSide) -> None:
-        self.server, self.address, self.http, self.idle_since = server, address, http, 0.0
+        self.server, self.address, self.http = server, address, http
+        self.idle_since = self.used = 0.0  # when it was last put away, and taken again
 
     def close(self) -> None:
         """Close it at once."""
@@ -57,7 +60,8 @@
     def __init__(self, loop: Loop, fleet: Fleet, wording: Wording, counts: Counts, most: int, idle_ms: float,
                  connect_ms: float) -> None:
         self.loop, self.fleet, self.wording, self.counts = loop, fleet, wording, counts
-        self.most, self.connect_ms, self.idle_ms = most, connect_ms, IDLE_SHARE * idle_ms
+        self.most, self.connect_ms = most, connect_ms
+        self.idle_ms = self.full_idle_ms = IDLE_SHARE * idle_ms
         self.idle: dict[str, deque[Connection]] = {}
         self.open = 0
         self.by_server: dict[str, int] = {}
@@ -84,7 +88,7 @@
             # What was decided before discovery told that the server drains must not be written after: the
             # rule on drains counts from the telling, and connecting may have taken a while.
             if server not in self.fleet.healthy:
-                return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "drained before it was sent")
+                return Result(Ending.MOOT, Reach.UNWRITTEN, "drained before it was sent")
             connection.http.ask(*self.wording.outgoing(message, until - now_ms()))
             asked = True
             result = yield from self.answered(connection, until, stopped)
@@ -134,8 +138,10 @@
                 self.counts.add("servers", "spoilt_answers")
                 return Result(Ending.ERROR, reach, reply.reason)
             if isinstance(reply, Broken) or stream.ended:
-                # A connection that breaks before the last byte is written proves that nothing ran.
-                ending = Ending.RESET if reach else Ending.CONNECT_FAILED
+                # A connection that breaks before the last byte is written proves that nothing ran. Only one
+                # that never came up tells of its server: this one may have been closed as idle.
+                self.too_old(connection)
+                ending = Ending.RESET if reach else Ending.MOOT
                 return Result(ending, reach, reply.reason if reply else f"broken ({stream.error})")
             if stopped():
                 return Result(Ending.CANCELLED, reach, "called off")
@@ -149,22 +155,24 @@
         """Give an idle connection, the one used last, or begin a new one."""
         address = self.fleet.addresses.get(server)
         if address is None or server not in self.fleet.healthy:
-            return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "not in the list")
+            return Result(Ending.MOOT, Reach.UNWRITTEN, "not in the list")
         idle = self.idle.get(server)
         while idle:
             connection = idle.pop()
             # The server may have closed it since epoll was last asked: what is written to a connection
             # closed by the other side would end as a reset, which may have run.
             if connection.address == address and connection.http.stream.alive():
+                connection.used = now_ms()
                 return connection
             self.drop(connection)
         if self.open >= self.most:
             self.evict()
         if self.open >= self.most or self.by_server.get(server, 0) >= MOST_PER_SERVER:
-            return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "too many connections")
+            return Result(Ending.MOOT, Reach.UNWRITTEN, "too many connections")  # no fault of the server
         stream = connect(self.loop, address, self.loop.this_task().wake)
         if isinstance(stream, OSError):
-            return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, str(stream))
+            ours = stream.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+            return Result(Ending.MOOT if ours else Ending.CONNECT_FAILED, Reach.UNWRITTEN, str(stream))
         self.open += 1
         self.by_server[server] = self.by_server.get(server, 0) + 1
         self.counts.add("connections", "to_servers")
@@ -185,6 +193,13 @@
             idle.remove(connection)
             self.drop(connection)
 
+    def too_old(self, connection: Connection) -> None:
+        """Learn from a kept connection that broke under its request: servers may close sooner than told."""
+        if connection.idle_since and not connection.http.head:
+            self.counts.add("connections", "broken_when_used_again")
+            idle = connection.used - connection.idle_since
+            self.idle_ms = max(LEAST_IDLE_MS, min(self.idle_ms, IDLE_SHARE * idle))
+
     def drop(self, connection: Connection) -> None:
         """Close a connection for good."""
         connection.close()
@@ -206,6 +221,7 @@
     def sweep(self) -> None:
         """Close what has been idle too long, or leads to a server that wants nothing new."""
         self.loop.after(1000.0, self.sweep)
+        self.idle_ms = min(self.full_idle_ms, MORE_IDLE * self.idle_ms)
         before = now_ms() - self.idle_ms
         for server, idle in list(self.idle.items()):
             while idle and (idle[0].idle_since < before or server not in self.fleet.healthy):
--- a/petrelhall/policy.py
+++ b/petrelhall/policy.py
@@ -25,7 +25,7 @@
 RATE_MS, NEWS_MS = 3000.0, 3000.0  # ms; decay of rates, to follow shifts of traffic; life of news
 METER_LAG_MS, PEER_LAG_MS = 1500.0, 150.0  # ms that news of the others' use is old: period and way
 TICK_MS, MAIL_SHARE, TOLD_STEP = 50.0, 0.6, 1.3  # ms between messages; share of what a peer takes in; news
-KEEP_MS, COUNT_MS, MOST_SHARES = 60000.0, 20000.0, 10000  # idle customers; a name; shares: bound memory
+KEEP_MS, COUNT_MS, MOST_SHARES = 15000.0, 20000.0, 10000  # idle customers; a name; shares: bound memory
 ASK_MIN, ASK_CUT, ASK_STEP, ASK_HASTE = 0.1, 0.7, 0.04, 0.2  # share of tries that call; growth/s; where clear
 SHARE_GAIN, KNOWN, PUT_RIGHT = 0.2, 0.9, 0.25  # weight of a verdict; share borne; of a burst worth a call
 PASS_MIN, PASS_GAIN, PASS_MS = 0.05, 0.5, 4000.0  # share let in by the meter: least, step at most, its pace
@@ -37,6 +37,7 @@
 FORGIVE_MS, REPORT_MS, TRUST_MS = 8000.0, 500.0, 20000.0  # ms in which slowness, a report, trust lose half
 JITTER, CROSSING = 0.15, 5.0  # chance in a server's cost, against herding; another zone's cost, in its price
 EJECT_MS, EJECT_MAX_MS = 500.0, 4000.0  # ms, first and longest
+RESETS = 2  # in a row that prove a server dead: one is a connection's end, and the next connect tells more
 COLD_FLOOR = 0.5  # requests/s to a cold server from all gateways while no warm rate is known
 LIMIT_START, LIMIT_MIN, LIMIT_MAX = 12.0, 1.0, 64.0  # attempts out at a server: of all, from here
 CALM_WAIT, FULL_WAIT, QUIET_WAIT = 0.20, 0.30, 0.45  # latency over aim: limit grows, falls; silence counts
@@ -387,13 +388,14 @@
             if link.down_at:  # back from the dead: cold, though the list may not say so yet
                 link.cold_since = max(link.cold_since or 0.0, link.down_at)
             link.ejections, link.down_at = 0, 0.0
-        elif ending in (Ending.CONNECT_FAILED, Ending.RESET):  # a proof of death; trust meets the rest
+        link.resets = link.resets + 1 if ending is Ending.RESET else 0
+        if ending is Ending.CONNECT_FAILED or link.resets >= RESETS:  # a proof of death; trust meets the rest
             link.down_at = self.now
             if self.now >= link.ejected_until:
                 pause = min(EJECT_MAX_MS, EJECT_MS * 2.0**link.ejections)
                 link.ejected_until, link.ejections = self.now + pause, link.ejections + 1
                 self.actions.append(api.Note(f"ejected {link.server.address}, time {link.ejections}"))
-        if telling or ending is Ending.ERROR:
+        if telling or ending in (Ending.ERROR, Ending.RESET):
             self.note_health(link, job, ending is Ending.OK)
         if "rif" in event.report:
             link.others, link.reported = max(0.0, event.report["rif"] - link.out), self.now
--- a/petrelhall/state.py
+++ b/petrelhall/state.py
@@ -96,6 +96,7 @@
     measured: float = 0.0
     sent: float = 0.0  # last attempt
     heard: float = 0.0  # last outcome, or when work was first out since
+    resets: int = 0  # in a row
     ejections: int = 0
     ejected_until: float = 0.0
     down_at: float = 0.0  # when it last proved dead; 0 while alive
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -191,12 +191,25 @@
     door = Door(servers=THREE[:1])
     send = door.ask()
     assert isinstance(send, Send)
-    door.answer(send, Ending.RESET)
+    door.answer(send, Ending.CONNECT_FAILED)
     door.now += 5000
     door.serve(door.ask())
     assert door.gateway.links["s0"].cold_since is not None
 
 
+def test_one_reset_is_a_connections_end_and_two_in_a_row_a_servers() -> None:
+    door = Door(servers=THREE[:1])
+    for ending in (Ending.RESET, Ending.OK, Ending.RESET):
+        send = door.ask()
+        assert isinstance(send, Send)
+        door.answer(send, ending)
+    assert door.gateway.links["s0"].cold_since is None
+    send = door.ask()
+    assert isinstance(send, Send)
+    door.answer(send, Ending.RESET)
+    assert isinstance(door.ask(), Refuse)
+
+
 def test_ceiling_holds_over_restarts() -> None:
     passed = 0
     door = Door()
@@ -317,6 +330,17 @@
     assert isinstance(capped, Refuse) and capped.retry_after_ms == 2000
 
 
+def test_customers_that_came_once_are_soon_forgotten() -> None:
+    door = Door()
+    for n in range(50):
+        door.serve(door.ask(who=f"c{n}"))
+    assert len(door.gateway.customers) == 50
+    for _ in range(20):  # seconds
+        door.now += 1000
+        door.feed(Alarm(0))
+    assert not door.gateway.customers and not door.gateway.codes
+
+
 def test_attempts_that_follow_a_failed_one_leave_the_cap_on_attempts_out_as_it_is() -> None:
     plan = Plan(rate=1000, burst=1000, max_open=2)
     door = Door(replace(SETTINGS, plans=(plan,), gateways=1))
