Learn which kept connections break; only a refused or silent connect makes a server cold

Looked at: a trace of the connections that broke: 440 of 660 were kept ones idle for 50 to 500 ms (servers close them without a word, far sooner than the settings say), the rest new ones. At fault: Pool.too_old, whose least of 1 s lay above the ages that break; Pool.connected, which took a connection reset as it came up for a refused one; Gateway.judge, which set down_at (cold when back) for resets as well. Tests: ages that broke are not used again; resets eject after three and leave nothing cold.

--- a/petrelhall/net/pool.py
+++ b/petrelhall/net/pool.py
@@ -17,7 +17,7 @@
 from petrelhall.net.stream import Address, connect
 
 IDLE_SHARE = 0.8  # of a server's patience with an idle connection that is used
-LEAST_IDLE_MS, MORE_IDLE = 1000.0, 1.05  # what is used at least; growth a second, after it proved too much
+BROKEN_GAIN, BROKEN_MOST, BROKEN_KEPT = 0.1, 0.25, 0.98  # weight of one use; share not used; left a second
 MOST_PER_SERVER = 64
 
 
@@ -60,8 +60,8 @@
     def __init__(self, loop: Loop, fleet: Fleet, wording: Wording, counts: Counts, most: int, idle_ms: float,
                  connect_ms: float) -> None:
         self.loop, self.fleet, self.wording, self.counts = loop, fleet, wording, counts
-        self.most, self.connect_ms = most, connect_ms
-        self.idle_ms = self.full_idle_ms = IDLE_SHARE * idle_ms
+        self.most, self.connect_ms, self.idle_ms = most, connect_ms, IDLE_SHARE * idle_ms
+        self.broken = [0.0] * 33  # share of kept connections that broke when used, by doublings of idle ms
         self.idle: dict[str, deque[Connection]] = {}
         self.open = 0
         self.by_server: dict[str, int] = {}
@@ -119,7 +119,9 @@
                 return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "connection did not come up")
             yield
         if stream.ended:
-            return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, f"connection refused ({stream.error})")
+            # A connection reset as it comes up was taken by someone that lives; refused, there is nobody.
+            ending = Ending.MOOT if stream.error == errno.ECONNRESET else Ending.CONNECT_FAILED
+            return Result(ending, Reach.UNWRITTEN, f"connection refused ({stream.error})")
         return None
 
     def answered(self, connection: Connection, until: float, stopped: Callable[[], bool]) -> Steps[Result]:
@@ -129,6 +131,7 @@
             reply = http.reply()
             reach = Reach.UNWRITTEN if stream.outgoing else Reach.WRITTEN
             if isinstance(reply, Reply):
+                self.learn(connection, False)
                 verdict = self.wording.verdict(reply)
                 return Result(verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply,
                               verdict.report, verdict.used)
@@ -140,7 +143,7 @@
             if isinstance(reply, Broken) or stream.ended:
                 # A connection that breaks before the last byte is written proves that nothing ran. Only one
                 # that never came up tells of its server: this one may have been closed as idle.
-                self.too_old(connection)
+                self.learn(connection, not http.head)
                 ending = Ending.RESET if reach else Ending.MOOT
                 return Result(ending, reach, reply.reason if reply else f"broken ({stream.error})")
             if stopped():
@@ -161,8 +164,9 @@
             connection = idle.pop()
             # The server may have closed it since epoll was last asked: what is written to a connection
             # closed by the other side would end as a reset, which may have run.
-            if connection.address == address and connection.http.stream.alive():
-                connection.used = now_ms()
+            connection.used = now_ms()
+            risk = self.broken[idle_class(connection.used - connection.idle_since)]
+            if connection.address == address and risk < BROKEN_MOST and connection.http.stream.alive():
                 return connection
             self.drop(connection)
         if self.open >= self.most:
@@ -193,12 +197,15 @@
             idle.remove(connection)
             self.drop(connection)
 
-    def too_old(self, connection: Connection) -> None:
-        """Learn from a kept connection that broke under its request: servers may close sooner than told."""
-        if connection.idle_since and not connection.http.head:
-            self.counts.add("connections", "broken_when_used_again")
-            idle = connection.used - connection.idle_since
-            self.idle_ms = max(LEAST_IDLE_MS, min(self.idle_ms, IDLE_SHARE * idle))
+    def learn(self, connection: Connection, broke: bool) -> None:
+        """Learn how kept connections fare by the time that they lay idle.
+
+        Servers may close sooner than told, without a word; what is written to such a one may have run.
+        """
+        if connection.used:
+            self.counts.add("connections", "broken_when_used_again", broke)
+            age = idle_class(connection.used - connection.idle_since)
+            self.broken[age] += BROKEN_GAIN * (broke - self.broken[age])
 
     def drop(self, connection: Connection) -> None:
         """Close a connection for good."""
@@ -221,10 +228,15 @@
     def sweep(self) -> None:
         """Close what has been idle too long, or leads to a server that wants nothing new."""
         self.loop.after(1000.0, self.sweep)
-        self.idle_ms = min(self.full_idle_ms, MORE_IDLE * self.idle_ms)
+        self.broken = [BROKEN_KEPT * share for share in self.broken]
         before = now_ms() - self.idle_ms
         for server, idle in list(self.idle.items()):
             while idle and (idle[0].idle_since < before or server not in self.fleet.healthy):
                 self.drop(idle.popleft())
             if not idle:
                 del self.idle[server]
+
+
+def idle_class(idle_ms: float) -> int:
+    """Give the doublings of a time: connections idle for alike long fare alike."""
+    return min(32, int(idle_ms).bit_length())
--- a/petrelhall/policy.py
+++ b/petrelhall/policy.py
@@ -37,7 +37,7 @@
 FORGIVE_MS, REPORT_MS, TRUST_MS = 8000.0, 500.0, 20000.0  # ms in which slowness, a report, trust lose half
 JITTER, CROSSING = 0.15, 5.0  # chance in a server's cost, against herding; another zone's cost, in its price
 EJECT_MS, EJECT_MAX_MS = 500.0, 4000.0  # ms, first and longest
-RESETS = 2  # in a row that prove a server dead: one is a connection's end, and the next connect tells more
+RESETS = 3  # in a row that look like a death: one is a connection's end, and the next connect tells more
 COLD_FLOOR = 0.5  # requests/s to a cold server from all gateways while no warm rate is known
 LIMIT_START, LIMIT_MIN, LIMIT_MAX = 12.0, 1.0, 64.0  # attempts out at a server: of all, from here
 CALM_WAIT, FULL_WAIT, QUIET_WAIT = 0.20, 0.30, 0.45  # latency over aim: limit grows, falls; silence counts
@@ -389,8 +389,9 @@
                 link.cold_since = max(link.cold_since or 0.0, link.down_at)
             link.ejections, link.down_at = 0, 0.0
         link.resets = link.resets + 1 if ending is Ending.RESET else 0
-        if ending is Ending.CONNECT_FAILED or link.resets >= RESETS:  # a proof of death; trust meets the rest
-            link.down_at = self.now
+        if ending is Ending.CONNECT_FAILED or link.resets >= RESETS:  # trust meets the rest
+            if ending is Ending.CONNECT_FAILED:  # a proof of death: it will be cold when it is back
+                link.down_at = self.now
             if self.now >= link.ejected_until:
                 pause = min(EJECT_MAX_MS, EJECT_MS * 2.0**link.ejections)
                 link.ejected_until, link.ejections = self.now + pause, link.ejections + 1
