Hold a watch of discovery for one second, so that a line that went dead is left soon

Looked at: a trace of what discovery told: one list, then nothing for 21.5 s, 'no answer in time', and on the next line all changes at once. The line had gone dead without a word while it stayed open. Ruled out: connections to servers, quota, CPU. At fault: WAIT_MS = 20000 and LATE_MS = 1500 in petrelhall/net/discovery.py. The new story fails with the old figures.

--- a/petrelhall/net/discovery.py
+++ b/petrelhall/net/discovery.py
@@ -13,8 +13,10 @@
 from petrelhall.net.loop import Loop, Steps, now_ms
 from petrelhall.net.stream import Address, connect
 
-WAIT_MS = 20000  # how long discovery may hold a watch
-LATE_MS = 1500.0  # after which an answer that is due counts as lost with its connection
+# How long discovery may hold a watch: a line that went dead says nothing, and until its answer is
+# overdue the list stands still while servers are replaced.
+WAIT_MS = 1000
+LATE_MS = 600.0  # after which an answer that is due counts as lost with its connection
 CONNECT_MS = 1000.0
 PAUSE_MS = 100.0  # before asking anew after a failure: a watch goes on if asked within 200 ms
 UNUSABLE = "unusable list"
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -395,6 +395,25 @@
             at_new.sendall(reply(b"new"))
             self.assertTrue(read_message(client).endswith(b"new"))
 
+    def test_a_line_to_discovery_that_went_dead_is_left_within_seconds(self) -> None:
+        agent, old, new = self.listener(), self.listener(), self.listener()
+        self.start(old, discovery=address(agent))
+        dead = self.accept(agent)
+        read_message(dead)
+        listing = {"version": 2, "full": True, "servers": [entry("s0", address(old))]}
+        dead.sendall(reply(json.dumps(listing).encode()))
+        self.assertIn(b"after=2", read_message(dead))  # and never a word again
+        agent.settimeout(4.0)
+        fresh = self.accept(agent)
+        self.assertIn(b"after=2", read_message(fresh))
+        changes = [{"id": "s0", "state": "Gone"}, entry("s1", address(new))]
+        fresh.sendall(reply(json.dumps({"version": 3, "full": False, "servers": changes}).encode()))
+        client = self.client(ask())
+        at_new = self.accept(new)
+        read_message(at_new)
+        at_new.sendall(reply(b"new"))
+        self.assertTrue(read_message(client).endswith(b"new"))
+
     def test_a_new_configuration_moves_discovery_and_a_bad_one_moves_nothing(self) -> None:
         agent, other, old, new = (self.listener() for _ in range(4))
         with unittest.mock.patch.dict(os.environ, EDGE_DISCOVERY=address(agent)):
