Give a customer new to a gateway its whole store less what peers told of it

Looked at: a trace of what is refused and why: after the cap, most is campus and small-district with a store just under one unit. At fault: Gateway.on_arrival in petrelhall/policy.py, which gave a customer new here the even slice of its store (one unit of four), also long after the start, and use that peers told of a customer not known here was dropped. Customers come back to a gateway after being forgotten, and after a restart of another. The new test fails without the change (the even slice in all cases).

--- a/petrelhall/policy.py
+++ b/petrelhall/policy.py
@@ -249,10 +249,17 @@
                 self.others_used(self.codes[code], told)
             elif not self.peers:
                 self.remember(code, told, MOST_SHARES)
+            else:
+                self.strangers[code] = self.stranger_use(code) + told, self.now
         for code, out in opens:
             if code in self.codes:
                 self.codes[code].elsewhere[event.sender] = out, self.now
 
+    def stranger_use(self, code: int) -> float:
+        """Give what peers told lately of a customer that is not known here, as it fades."""
+        units, at = self.strangers.get(code, (0.0, self.now))
+        return units * math.exp((at - self.now) / RATE_MS)
+
     # Correlation and cut
 
     def close_interval(self) -> None:
@@ -288,6 +295,7 @@
         self.lateness = self.served = self.bad = self.ends = self.warm_sends = 0.0
         self.asked = {}
         self.forget(self.now - KEEP_MS)
+        self.strangers = {c: told for c, told in self.strangers.items() if told[1] > self.now - NEWS_MS}
 
     def set_pace(self, wait: float) -> None:
         """Bound what is let in by a rate of our own for all servers: tries may multiply, servers do not.
@@ -486,7 +494,11 @@
             customer = Customer(plan, event.set_size, code, self.now, self.now - NEWS_MS)
             told = self.shares.get(code, 100.0) / 100.0
             customer.share = told if self.counter or self.metered else customer.even
-            customer.shared *= customer.even if self.peers else 1.0  # past messages are lost
+            if self.peers:  # the store less what was told of it, where peers were heard for a while
+                heard = self.now - self.started > NEWS_MS and self.now - self.peers_at < NEWS_MS
+                left = plan.burst - self.stranger_use(code) if heard else 0.0
+                customer.shared = max(plan.burst * customer.even, left)
+                self.strangers.pop(code, None)
             idle = min(KEEP_MS, self.now - self.started)  # its part has filled since our own start
             customer.cap = customer.even * plan.ceiling_rate * idle / 1000.0
             self.customers[event.customer] = self.codes[code] = customer
--- a/petrelhall/state.py
+++ b/petrelhall/state.py
@@ -206,6 +206,7 @@
     outs: dict[int, int] = field(default_factory=dict)  # attempts out of capped customers that have any
     told_at: float = -math.inf  # when peers were last told anything
     tell_due: bool = False  # whether a timer stands for telling them of attempts out
+    strangers: dict[int, tuple[float, float]] = field(default_factory=dict)  # peers' recent use, by code
     peers_at: float = -math.inf  # when a peer was last heard
     links: dict[str, Link] = field(default_factory=dict)
     jobs: dict[int, Job] = field(default_factory=dict)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import deque
 from dataclasses import replace
 
@@ -329,6 +330,20 @@
     assert isinstance(capped, Refuse) and capped.retry_after_ms == 2000
 
 
+def test_a_customer_new_here_has_its_store_less_what_peers_told_of_it() -> None:
+    settings = replace(SETTINGS, plans=(Plan(rate=1, burst=8),), gateways=4, peers=True)
+    for used, expected in ((0.0, 8.0), (5.0, 3.0), (50.0, 2.0)):  # an even slice at least
+        door = Door(settings)
+        door.now += policy.NEWS_MS + 1
+        door.feed(PeerMessage(1, gossip.encode([(zlib.crc32(b"a"), used)])))
+        door.ask(spread=4)
+        assert door.gateway.customers["a"].shared == pytest.approx(expected - 1.0)
+        assert not door.gateway.strangers
+    door = Door(settings)
+    door.ask(spread=4)  # just started: past messages are lost
+    assert door.gateway.customers["a"].shared == pytest.approx(1.0)
+
+
 def test_customers_that_came_once_are_soon_forgotten() -> None:
     door = Door()
     for n in range(50):
