Move the code into rooms by concern: decide, net, http, links, boxes, gateway

Need: what follows (connections, pools, agents) must know where a line belongs and what it may import; the decision module lay beside the program's files and the sockets' folder held everything else.

--- /dev/null
+++ b/petrelhall/boxes/__init__.py
@@ -0,0 +1,1 @@
+"""Which boxes there are, and who says so."""
--- a/petrelhall/net/discovery.py
+++ b/petrelhall/boxes/discovery.py
@@ -6,10 +6,10 @@
 
 import ujson
 
-from petrelhall import interface as api
+from petrelhall.boxes.fleet import Fleet
+from petrelhall.decide import interface as api
+from petrelhall.http.h1 import Broken, ClientSide, Reply
 from petrelhall.net.counts import Counts
-from petrelhall.net.fleet import Fleet
-from petrelhall.net.http1 import Broken, ClientSide, Reply
 from petrelhall.net.loop import Loop, Steps, now_ms
 from petrelhall.net.stream import Address, connect
 
--- a/petrelhall/policy.py
+++ b/petrelhall/decide/policy.py
@@ -8,11 +8,11 @@
 import statistics
 import zlib
 
-from petrelhall import gossip
-from petrelhall import interface as api
-from petrelhall.correlation import significant
-from petrelhall.interface import Effect, Ending
-from petrelhall.state import Customer, Job, Link, Memory, faded
+from petrelhall.decide import gossip
+from petrelhall.decide import interface as api
+from petrelhall.decide.correlation import significant
+from petrelhall.decide.interface import Effect, Ending
+from petrelhall.decide.state import Customer, Job, Link, Memory, faded
 
 # Correlation and cut
 INTERVAL_MS, STALL_MS = 1000.0, 200.0  # ms; the paper's interval; its end so late, we have stood still
--- a/petrelhall/settings.py
+++ b/petrelhall/decide/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from petrelhall import interface as api
+from petrelhall.decide import interface as api
 
 EFFECTS = {
     "repeatable": api.Effect.REPEATABLE,
--- a/petrelhall/state.py
+++ b/petrelhall/decide/state.py
@@ -6,7 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from petrelhall.interface import Action, Arrival, Plan, RequestClass, Server
+from petrelhall.decide.interface import Action, Arrival, Plan, RequestClass, Server
 
 
 @dataclass(eq=False)
--- /dev/null
+++ b/petrelhall/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""One gateway put together."""
--- a/petrelhall/net/config.py
+++ b/petrelhall/gateway/config.py
@@ -9,9 +9,9 @@
 
 import ujson
 
-from petrelhall import interface as api
+from petrelhall.decide import interface as api
+from petrelhall.decide.settings import Section, SettingsError, read_settings
 from petrelhall.net.stream import Address, parse_address
-from petrelhall.settings import Section, SettingsError, read_settings
 
 
 class ConfigError(ValueError):
--- a/petrelhall/net/counter.py
+++ b/petrelhall/gateway/counter.py
@@ -7,8 +7,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from petrelhall import interface as api
-from petrelhall.interface import Ending
+from petrelhall.decide import interface as api
+from petrelhall.decide.interface import Ending
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Timer, now_ms
 from petrelhall.net.stream import Address, Stream, connect
--- a/petrelhall/net/dispatch.py
+++ b/petrelhall/gateway/dispatch.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from petrelhall import interface as api
+from petrelhall.decide import interface as api
+from petrelhall.gateway.requests import Fault, Order
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, describe, now_ms
-from petrelhall.net.requests import Fault, Order
 
 FOR_REQUESTS = api.Send | api.Refuse | api.Fail | api.Cancel
 
--- a/petrelhall/net/front.py
+++ b/petrelhall/gateway/front.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from petrelhall.gateway.platform import READY
+from petrelhall.gateway.requests import Answer, Desk, Request
+from petrelhall.http.h1 import Broken, Headers, Message, ServerSide
 from petrelhall.net.counts import Counts
-from petrelhall.net.http1 import Broken, Headers, Message, ServerSide
 from petrelhall.net.loop import Loop, Steps, describe, now_ms
-from petrelhall.net.platform import READY
-from petrelhall.net.requests import Answer, Desk, Request
 from petrelhall.net.stream import NEW_SOCKET, Address, Stream
 
 BACKLOG = 1024
--- a/petrelhall/net/peers.py
+++ b/petrelhall/gateway/peers.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from petrelhall import interface as api
+from petrelhall.decide import interface as api
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop
 from petrelhall.net.stream import NEW_SOCKET, Address
--- a/petrelhall/net/platform.py
+++ b/petrelhall/gateway/platform.py
@@ -5,11 +5,11 @@
 import re
 from dataclasses import dataclass
 
-from petrelhall import interface as api
-from petrelhall.interface import Ending
-from petrelhall.net.http1 import Broken, Headers, Message, Reply
-from petrelhall.net.pool import Verdict
-from petrelhall.net.requests import Answer, Failed, Refused, Request, Served
+from petrelhall.decide import interface as api
+from petrelhall.decide.interface import Ending
+from petrelhall.gateway.requests import Answer, Failed, Refused, Request, Served
+from petrelhall.http.h1 import Broken, Headers, Message, Reply
+from petrelhall.links.attempt import Verdict
 
 PATH, READY = b"/api", b"/healthz"
 DEADLINE = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])", re.ASCII)
--- /dev/null
+++ b/petrelhall/gateway/program.py
@@ -0,0 +1,149 @@
+"""The gateway program: reads its configuration, puts the parts together, and minds signals."""
+
+from __future__ import annotations
+
+import gc
+import os
+import resource
+import select
+import signal
+import socket
+import sys
+
+from petrelhall.boxes.discovery import Watch
+from petrelhall.boxes.fleet import Fleet
+from petrelhall.decide import interface as api
+from petrelhall.decide.policy import Gateway
+from petrelhall.gateway.config import Config, ConfigError, load
+from petrelhall.gateway.counter import CounterClient
+from petrelhall.gateway.dispatch import Dispatcher
+from petrelhall.gateway.front import CLOSE_MS, Front
+from petrelhall.gateway.peers import Peers
+from petrelhall.gateway.platform import Platform
+from petrelhall.gateway.requests import Desk
+from petrelhall.links.pool import Pool
+from petrelhall.net.counts import Counts
+from petrelhall.net.log import Log
+from petrelhall.net.loop import Loop
+from petrelhall.net.stream import Address
+
+OWN_SOCKETS = 40  # descriptors for all but clients and servers, with some to spare
+LAST_MS = 2000.0  # after the last request's deadline, to end whatever would not end by itself
+GARBAGE = 20000  # objects made and not freed between two looks for cycles
+CLIENT_SHARE = 0.6  # of the other descriptors
+
+
+class Program:
+    """One gateway, from its configuration to its exit."""
+
+    def __init__(self, config: Config, log: Log) -> None:
+        self.config, self.log = config, log
+        self.loop, self.counts, self.fleet = Loop(log), Counts(), Fleet(config.areas)
+        self.stopping = False
+        self.counter: CounterClient | None = None
+        self.mind_signals()  # before anyone can connect: unminded, any of them ends the program at once
+        settings = config.settings
+        self.dispatcher = Dispatcher(self.loop, Gateway(settings, config.seed), self.counts, log)
+        platform = Platform(settings, config.classes, config.plans)
+        room = max(20, min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS)
+        clients = int(CLIENT_SHARE * room)
+        pool = Pool(self.loop, self.fleet, platform, self.counts, room - clients, config.conn_idle_ms,
+                    config.connect_timeout_ms)
+        desk = Desk(self.loop, self.dispatcher.tell, pool, self.counts, settings.max_retry_after_ms)
+        self.dispatcher.to_request = desk.give
+        self.join_others()
+        self.dispatcher.tell(api.Started())
+        self.start_list()
+        self.front = Front(self.loop, config.listen, platform, desk, lambda: bool(self.fleet.addresses),
+                           self.counts, log, clients)
+        self.front.on_empty = self.loop.stop
+
+    def join_others(self) -> None:
+        """Open the ways to the other gateways that the configuration names."""
+        config, tell = self.config, self.dispatcher.tell
+        if config.settings.peers and config.peer_listen and config.peers_all:
+            peers = Peers(self.loop, config.peer_listen, config.peers, config.peers_all,
+                          config.settings.position, tell, self.counts)
+            self.dispatcher.to_peers = peers.send
+        if config.settings.counter and config.counter:
+            self.counter = self.counter_at(config.counter)
+
+    def counter_at(self, address: Address) -> CounterClient:
+        """Have calls to the counter go to an address."""
+        wait_ms = self.config.settings.counter_wait_ms
+        client = CounterClient(self.loop, address, wait_ms, self.dispatcher.tell, self.counts)
+        self.dispatcher.to_counter = client.add
+        return client
+
+    def start_list(self) -> None:
+        """Begin with the list that this gateway last had, then follow discovery."""
+        try:
+            if self.config.known is not None:
+                self.dispatcher.tell(self.fleet.take(self.config.known, "cached"))
+        except (ValueError, TypeError) as error:
+            raise ConfigError(f"config.known: {error}") from error
+        self.watch = Watch(self.loop, self.config.discovery, self.fleet, self.dispatcher.tell, self.counts,
+                           self.log)
+
+    def reload(self) -> None:
+        """Read the configuration anew and move to where discovery and the counter now are."""
+        try:
+            new = load(os.environ, anew=True)
+        except ConfigError as error:  # the old one goes on serving: a bad file must not end a gateway
+            self.counts.add("reload", "refused")
+            return self.log.write(f"configuration not taken over: {error}")
+        self.counts.add("reload", "taken")
+        if new.discovery != self.watch.address:
+            self.watch = self.watch.moved(new.discovery)
+        if self.counter is not None and new.counter is not None and new.counter != self.counter.address:
+            self.counter.retire()
+            self.counter = self.counter_at(new.counter)
+
+    def mind_signals(self) -> None:
+        """Have signals wake the loop, which then reads their numbers."""
+        wake, woken = socket.socketpair()
+        for end in (wake, woken):
+            end.setblocking(False)
+        signal.set_wakeup_fd(woken.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
+            signal.signal(number, lambda *_: None)  # the loop reads the number from the wake-up socket
+        self.loop.register(wake.fileno(), select.EPOLLIN, lambda mask: self.on_signals(wake.recv(64)))
+        self.signal_sockets = wake, woken
+
+    def run(self) -> None:
+        """Serve until told to end."""
+        gc.collect()
+        gc.freeze()  # what is here now stays: no collection needs to look at it again
+        gc.set_threshold(GARBAGE, 20, 50)  # requests leave no cycles: connections alone do, and those are few
+        self.loop.run()
+        self.log.write(str(self.counts))
+
+    def on_signals(self, numbers: bytes) -> None:
+        """Print the counters, move to a new configuration, or begin the end."""
+        for number in numbers:
+            if number == signal.SIGUSR1:
+                self.log.write(str(self.counts))
+            elif number == signal.SIGHUP:
+                self.loop.guard(self.reload)
+            elif not self.stopping:
+                self.stopping = True
+                self.front.stop()
+                longest = max(kind.deadline_ms for kind in self.config.settings.classes)
+                self.loop.after(CLOSE_MS + longest + LAST_MS, self.loop.stop)  # nobody waits any more
+
+
+def main() -> int:
+    """Run one gateway."""
+    log = Log()
+    try:
+        program = Program(load(os.environ), log)
+    except ConfigError as error:
+        print(f"petrelhall: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"petrelhall: cannot start: {error}", file=sys.stderr)
+        return 1
+    program.run()
+    return 0
+
+
--- a/petrelhall/net/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -7,39 +7,19 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-from enum import IntEnum
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Protocol
 
-from petrelhall import interface as api
-from petrelhall.interface import Ending
+from petrelhall.decide import interface as api
+from petrelhall.decide.interface import Ending
+from petrelhall.links.attempt import Reach, Result
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, now_ms
 
 OVERDUE_MS = 5.0  # after its own last moment a request is answered even if the module said nothing
 
 
-class Reach(IntEnum):
-    """How far an attempt had come when it ended."""
-
-    UNWRITTEN = 0  # not all of it written: it never ran
-    WRITTEN = 1  # it may have run
-    ANSWERED = 2  # an answer came whole
-
-
-@dataclass(frozen=True, slots=True)
-class Result:
-    """How an attempt ended. ``reply`` is the server's answer, in the front's own terms, where it is whole."""
-
-    ending: Ending
-    reach: Reach
-    reason: str = ""
-    reply: Any = None
-    report: Mapping[str, float] = field(default_factory=dict)
-    used: float | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class Request:
     """What a client asks, in the module's terms; ``message`` is what the servers are sent."""
--- /dev/null
+++ b/petrelhall/http/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols as codecs on streams; nothing here knows the platform."""
--- a/petrelhall/net/pool.py
+++ b/petrelhall/links/pool.py
@@ -4,16 +4,15 @@
 
 import errno
 from collections import deque
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Any
 
-from petrelhall.interface import Ending
+from petrelhall.boxes.fleet import Fleet
+from petrelhall.decide.interface import Ending
+from petrelhall.http.h1 import Broken, ClientSide, Reply
+from petrelhall.links.attempt import Reach, Result, Wording
 from petrelhall.net.counts import Counts
-from petrelhall.net.fleet import Fleet
-from petrelhall.net.http1 import Broken, ClientSide, Headers, Reply
 from petrelhall.net.loop import Loop, Steps, Timer, describe, now_ms
-from petrelhall.net.requests import Reach, Result
 from petrelhall.net.stream import Address, connect
 
 IDLE_SHARE = 0.8  # of a server's patience with an idle connection that is used
@@ -21,25 +20,6 @@
 MOST_PER_SERVER = 64
 
 
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    """What a whole answer means."""
-
-    ending: Ending
-    report: Mapping[str, float]
-    used: float | None = None
-
-
-class Wording(Protocol):
-    """The platform's way to put an attempt."""
-
-    def outgoing(self, message: Any, wait_ms: float) -> tuple[bytes, bytes, Headers, bytes]:
-        """Give method, target, headers and body."""
-
-    def verdict(self, reply: Reply) -> Verdict:
-        """Read an answer."""
-
-
 class Connection:
     """One connection to a server."""
 
--- a/petrelhall/wirehost.py
+++ b/petrelhall/wirehost.py
@@ -10,9 +10,9 @@
 import traceback
 from typing import Any, TextIO
 
-from petrelhall import interface as api
-from petrelhall.policy import Gateway
-from petrelhall.settings import read_settings
+from petrelhall.decide import interface as api
+from petrelhall.decide.policy import Gateway
+from petrelhall.decide.settings import read_settings
 
 ENDINGS = {ending.value: ending for ending in api.Ending}
 FIELDS = {
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,20 +14,21 @@
 import unittest.mock
 from typing import Any
 
-from petrelhall import interface as api
-from petrelhall.interface import Ending
-from petrelhall.net.counter import CounterClient
+from petrelhall.boxes.fleet import Fleet
+from petrelhall.decide import interface as api
+from petrelhall.decide.interface import Ending
+from petrelhall.decide.settings import SettingsError, read_settings
+from petrelhall.gateway.counter import CounterClient
+from petrelhall.gateway.dispatch import Dispatcher
+from petrelhall.gateway.peers import Peers
+from petrelhall.gateway.platform import Platform
+from petrelhall.gateway.requests import Desk, Refused, Request
+from petrelhall.links.attempt import Reach
+from petrelhall.links.pool import Pool
 from petrelhall.net.counts import Counts
-from petrelhall.net.dispatch import Dispatcher
-from petrelhall.net.fleet import Fleet
 from petrelhall.net.log import Log
 from petrelhall.net.loop import Loop, now_ms
-from petrelhall.net.peers import Peers
-from petrelhall.net.platform import Platform
-from petrelhall.net.pool import Pool
-from petrelhall.net.requests import Desk, Reach, Refused, Request
 from petrelhall.net.stream import Stream
-from petrelhall.settings import SettingsError, read_settings
 from tests.peers import PATIENCE_S, PROFILE, Story, address, ask, entry, listen, read_message, reply
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from petrelhall import gossip, policy
-from petrelhall.correlation import critical_t, t_statistic
-from petrelhall.interface import (
+from petrelhall.decide import gossip, policy
+from petrelhall.decide.correlation import critical_t, t_statistic
+from petrelhall.decide.interface import (
     Action,
     Alarm,
     Arrival,
@@ -35,8 +35,8 @@
     Started,
     Tell,
 )
-from petrelhall.policy import Gateway
-from petrelhall.state import Customer
+from petrelhall.decide.policy import Gateway
+from petrelhall.decide.state import Customer
 
 SETTINGS = Settings(
     classes=(
