Plan connections to boxes in a core without I/O, set in an operators' file

Change: links/plan.py decides on which connection a request goes and what is opened, kept and retired; links/limits.py learns each box's hidden idle limit by monotone regression over fading trials; links/pool.py carries it out.

--- a/petrelhall/boxes/fleet.py
+++ b/petrelhall/boxes/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from petrelhall.decide import interface as api
@@ -18,6 +19,8 @@
         self.version = 0
         self.addresses: dict[str, Address] = {}
         self.healthy: set[str] = set()
+        self.started: dict[str, float | None] = {}  # Unix ms, 0 for long ago, None where the list does not say
+        self.changed: Callable[[], None] = lambda: None  # called after each change, before the module is told
 
     def take(self, listing: Any, kind: str | None = None) -> api.ServerList:
         """Take in an answer of discovery, all or nothing (ValueError), and give it in the module's terms.
@@ -28,17 +31,21 @@
             raise ValueError("not a list of servers")
         version, kind = int(listing.get("version") or 0), kind or ("full" if listing.get("full") else "delta")
         read = [self.line(entry) for entry in listing["servers"]]
+        told = {entry["id"] for entry in listing["servers"] if entry.get("started_ms") is not None}
         if kind != "delta":
-            self.addresses, self.healthy = {}, set()
+            self.addresses, self.healthy, self.started = {}, set(), {}
         for server, address in read:
             self.healthy.discard(server.address)
             if server.phase == "deregistered":
                 self.addresses.pop(server.address, None)
+                self.started.pop(server.address, None)
                 continue
             self.addresses[server.address] = address
+            self.started[server.address] = server.since_ms if server.address in told else None
             if server.phase == "healthy":
                 self.healthy.add(server.address)
         self.version = version
+        self.changed()
         # A full list holds whoever is there: the module drops those that it does not name by itself, and
         # knows Gone among changes only.
         lines = tuple(server for server, _ in read if kind == "delta" or server.phase != "deregistered")
--- a/petrelhall/gateway/platform.py
+++ b/petrelhall/gateway/platform.py
@@ -80,7 +80,7 @@
             return Request(
                 index, plan, customer(query), left, units, spread,
                 headers.get(b"x-retry") == b"1", Spoken(message, passed_on(message)),
-                headers[b"x-request-id"],
+                headers[b"x-request-id"], safe,
             )
         except Refusal as error:
             return Broken(400, str(error))
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -21,11 +21,14 @@
 from petrelhall.gateway.peers import Peers
 from petrelhall.gateway.platform import Platform
 from petrelhall.gateway.requests import Desk
+from petrelhall.links.plan import Plan
 from petrelhall.links.pool import Pool
 from petrelhall.net.counts import Counts
 from petrelhall.net.log import Log
 from petrelhall.net.loop import Loop
 from petrelhall.net.stream import Address
+from petrelhall.operator.file import OperatorError, differences, read
+from petrelhall.operator.settings import File
 
 OWN_SOCKETS = 40  # descriptors for all but clients and servers, with some to spare
 LAST_MS = 2000.0  # after the last request's deadline, to end whatever would not end by itself
@@ -36,8 +39,8 @@
 class Program:
     """One gateway, from its configuration to its exit."""
 
-    def __init__(self, config: Config, log: Log) -> None:
-        self.config, self.log = config, log
+    def __init__(self, config: Config, log: Log, operator: File, operator_path: str = "") -> None:
+        self.config, self.log, self.operator, self.operator_path = config, log, operator, operator_path
         self.loop, self.counts, self.fleet = Loop(log), Counts(), Fleet(config.areas)
         self.stopping = False
         self.counter: CounterClient | None = None
@@ -47,9 +50,10 @@
         platform = Platform(settings, config.classes, config.plans)
         room = max(20, min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS)
         clients = int(CLIENT_SHARE * room)
-        pool = Pool(self.loop, self.fleet, platform, self.counts, room - clients, config.conn_idle_ms,
-                    config.connect_timeout_ms)
-        desk = Desk(self.loop, self.dispatcher.tell, pool, self.counts, settings.max_retry_after_ms)
+        plan = Plan(operator.links, room - clients, config.conn_idle_ms, settings.cold_ms, settings.gateways,
+                    config.seed)
+        self.pool = Pool(self.loop, self.fleet, platform, self.counts, plan, config.connect_timeout_ms)
+        desk = Desk(self.loop, self.dispatcher.tell, self.pool, self.counts, settings.max_retry_after_ms)
         self.dispatcher.to_request = desk.give
         self.join_others()
         self.dispatcher.tell(api.Started())
@@ -86,13 +90,19 @@
                            self.log)
 
     def reload(self) -> None:
-        """Read the configuration anew and move to where discovery and the counter now are."""
+        """Read both files anew, all or nothing: move to where discovery and the counter are, take settings."""
         try:
             new = load(os.environ, anew=True)
-        except ConfigError as error:  # the old one goes on serving: a bad file must not end a gateway
+            operator = read(self.operator_path) if self.operator_path else self.operator
+        except (ConfigError, OperatorError) as error:  # the old goes on serving: a bad file must not end a gateway
             self.counts.add("reload", "refused")
             return self.log.write(f"configuration not taken over: {error}")
         self.counts.add("reload", "taken")
+        changes = differences(self.operator, operator)
+        if changes:
+            self.operator = operator
+            self.pool.plan.configure(operator.links)
+            self.log.write(f"operators' file taken over: {', '.join(changes)}")
         if new.discovery != self.watch.address:
             self.watch = self.watch.moved(new.discovery)
         if self.counter is not None and new.counter is not None and new.counter != self.counter.address:
@@ -123,6 +133,8 @@
         for number in numbers:
             if number == signal.SIGUSR1:
                 self.log.write(str(self.counts))
+                for line in self.pool.describe():
+                    self.log.write(line)
             elif number == signal.SIGHUP:
                 self.loop.guard(self.reload)
             elif not self.stopping:
@@ -132,12 +144,17 @@
                 self.loop.after(CLOSE_MS + longest + LAST_MS, self.loop.stop)  # nobody waits any more
 
 
-def main() -> int:
-    """Run one gateway."""
-    log = Log()
+def main(arguments: list[str] | None = None) -> int:
+    """Run one gateway; ``--operator FILE`` names the operators' file, without which all is at its default."""
+    arguments = sys.argv[1:] if arguments is None else arguments
+    if arguments and (len(arguments) != 2 or arguments[0] != "--operator"):
+        print("petrelhall: usage: python -m petrelhall [--operator FILE]", file=sys.stderr)
+        return 2
+    log, path = Log(), arguments[1] if arguments else ""
     try:
-        program = Program(load(os.environ), log)
-    except ConfigError as error:
+        operator = read(path) if path else File()
+        program = Program(load(os.environ), log, operator, path)
+    except (ConfigError, OperatorError) as error:
         print(f"petrelhall: {error}", file=sys.stderr)
         return 2
     except OSError as error:
@@ -145,5 +162,3 @@
         return 1
     program.run()
     return 0
-
-
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -33,6 +33,7 @@
     repeat: bool
     message: Any
     name: bytes = b""  # the client's own, none other in hand has it
+    free: bool = True  # to run it twice costs nothing
 
 
 class Caller(Protocol):
@@ -70,8 +71,9 @@
 class Servers(Protocol):
     """Where attempts are made."""
 
-    def attempt(self, server: str, message: Any, until: float, stopped: Callable[[], bool]) -> Steps[Result]:
-        """Make one attempt."""
+    def attempt(self, server: str, message: Any, until: float, stopped: Callable[[], bool],
+                free: bool = True) -> Steps[Result]:
+        """Make one attempt; ``free`` tells that to run the request twice costs nothing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,7 +163,8 @@
                 started = now_ms()
                 last = min(until, started + order.timeout_ms) if order.timeout_ms else until
                 result = yield from self.servers.attempt(
-                    order.server, request.message, last, lambda: caller.gone or bool(ticket.orders))
+                    order.server, request.message, last, lambda: caller.gone or bool(ticket.orders),
+                    request.free)
                 self.counts.add("sent", result.ending.value)
                 may_have_run |= result.reach > Reach.UNWRITTEN and result.ending is not Ending.FULL
                 if caller.gone:  # before the attempt's end is told: no further one may follow from it
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -1,80 +1,106 @@
-"""Connections to servers, and the attempts made on them."""
+"""Carries out on sockets what ``links.plan`` decides: connections to boxes, and the attempts made on them."""
 
 from __future__ import annotations
 
 import errno
-from collections import deque
-from collections.abc import Callable
-from typing import Any
+import re
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Protocol
 
-from petrelhall.boxes.fleet import Fleet
 from petrelhall.decide.interface import Ending
 from petrelhall.http.h1 import Broken, ClientSide, Reply
 from petrelhall.links.attempt import Reach, Result, Wording
+from petrelhall.links.plan import End, Link, No, Plan, State
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, Timer, describe, now_ms
 from petrelhall.net.stream import Address, connect
 
-IDLE_SHARE = 0.8  # of a server's patience with an idle connection that is used
-BROKEN_GAIN, BROKEN_MOST, BROKEN_KEPT = 0.1, 0.25, 0.98  # weight of one use; share not used; left a second
-MOST_PER_SERVER = 64
+TICK_MS = 100.0
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+KEEP_ALIVE = re.compile(rb"timeout *= *\"?(\d{1,6})", re.ASCII | re.IGNORECASE)
 
 
-class Connection:
-    """One connection to a server."""
+class Listing(Protocol):
+    """The boxes that there are."""
+
+    changed: Callable[[], None]
+
+    @property
+    def addresses(self) -> Mapping[str, Address]:
+        """Give addresses by id."""
+
+    @property
+    def healthy(self) -> Iterable[str]:
+        """Give the ids of those that want new work."""
+
+    @property
+    def started(self) -> Mapping[str, float | None]:
+        """Give when each started: Unix ms, 0 for long ago, None for untold."""
 
-    __slots__ = ("server", "address", "http", "idle_since", "used")
 
-    def __init__(self, server: str, address: Address, http: ClientSide) -> None:
-        self.server, self.address, self.http = server, address, http
-        self.idle_since = self.used = 0.0  # when it was last put away, and taken again
+class Connection:
+    """One connection to a box: what the plan knows of it, and the socket."""
+
+    __slots__ = ("link", "http")
 
-    def close(self) -> None:
-        """Close it at once."""
-        self.http.stream.close()
+    def __init__(self, link: Link, http: ClientSide) -> None:
+        self.link, self.http = link, http
+        link.carrier = self
 
 
 class Pool:
-    """Keeps connections that are idle and makes new ones, within bounds."""
+    """Makes attempts at boxes, on the connections that the plan gives."""
 
-    def __init__(self, loop: Loop, fleet: Fleet, wording: Wording, counts: Counts, most: int, idle_ms: float,
+    def __init__(self, loop: Loop, fleet: Listing, wording: Wording, counts: Counts, plan: Plan,
                  connect_ms: float) -> None:
-        self.loop, self.fleet, self.wording, self.counts = loop, fleet, wording, counts
-        self.most, self.connect_ms, self.idle_ms = most, connect_ms, IDLE_SHARE * idle_ms
-        self.broken = [0.0] * 33  # share of kept connections that broke when used, by doublings of idle ms
-        self.idle: dict[str, deque[Connection]] = {}
-        self.open = 0
-        self.by_server: dict[str, int] = {}
-        loop.after(1000.0, self.sweep)
+        self.loop, self.fleet, self.wording, self.counts, self.plan = loop, fleet, wording, counts, plan
+        self.connect_ms = connect_ms
+        self.waiting: dict[str, dict[object, Callable[[], object]]] = {}  # for a connection, by box
+        fleet.changed = self.follow
+        self.follow()
+        loop.after(TICK_MS, self.tick)
+
+    @property
+    def open(self) -> int:
+        """Give how many connections there are."""
+        return self.plan.open
 
     # Attempts
 
-    def attempt(self, server: str, message: Any, until: float, stopped: Callable[[], bool]) -> Steps[Result]:
-        """Make one attempt that ends by its time; it is over on the wire when this gives its result."""
+    def attempt(self, server: str, message: Any, until: float, stopped: Callable[[], bool],
+                free: bool = True) -> Steps[Result]:
+        """Make one attempt that ends by its time; it is over on the wire when this gives its result.
+
+        ``free`` tells that the request may run twice without harm.
+        """
         if now_ms() >= until:
             return Result(Ending.TIMEOUT, Reach.UNWRITTEN, "no time left")
-        connection = self.take(server)
+        connection = yield from self.obtain(server, until, stopped, free)
         if isinstance(connection, Result):
             return connection
-        stream = connection.http.stream
+        stream, link = connection.http.stream, connection.link
         stream.notify = self.loop.this_task().wake
         timers = [self.loop.at(until, stream.notify)]
         keep = asked = False
+        cause = "broken"
         try:
             if stream.connecting:
                 failed = yield from self.connected(connection, until, timers, stopped)
                 if failed is not None:
                     return failed
-            # What was decided before discovery told that the server drains must not be written after: the
+            # What was decided before discovery told that the box drains must not be written after: the
             # rule on drains counts from the telling, and connecting may have taken a while.
-            if server not in self.fleet.healthy:
+            if not link.box.listed:
                 return Result(Ending.MOOT, Reach.UNWRITTEN, "drained before it was sent")
             connection.http.ask(*self.wording.outgoing(message, until - now_ms()))
             asked = True
             result = yield from self.answered(connection, until, stopped)
-            keep = result.reach is Reach.ANSWERED and connection.http.again()
+            if result.reach is Reach.ANSWERED:
+                keep, cause = connection.http.again(), "told"
+            elif result.ending in (Ending.CANCELLED, Ending.TIMEOUT):
+                cause = "given_up"
             return result
-        except Exception as error:  # our own fault, such as a message that h11 will not word: no server's
+        except Exception as error:  # our own fault, such as a message that h11 will not word: no box's
             self.loop.log(f"attempt failed: {describe(error)}")
             keep = False
             reach = Reach.WRITTEN if asked else Reach.UNWRITTEN
@@ -82,141 +108,201 @@
         finally:
             for timer in timers:
                 timer.cancel()
-            self.release(connection, keep)
+            self.release(connection, keep, cause)
+
+    def obtain(self, server: str, until: float, stopped: Callable[[], bool],
+               free: bool) -> Steps[Connection | Result]:
+        """Get a connection, one that comes up included, within the time that waiting for one is worth."""
+        latest = 0.0
+        while True:
+            now = now_ms()
+            link = self.plan.take(now, server, free)
+            if self.plan.closing:
+                self.carry_out()
+            if isinstance(link, Link):
+                if link.carrier is None:
+                    return self.begin(link, self.loop.this_task().wake)
+                # The box may have closed it since epoll was last asked: what is written to a connection
+                # closed by the other side would end as a reset, which may have run.
+                connection: Connection = link.carrier
+                if connection.http.stream.alive():
+                    return connection
+                self.plan.found_closed(now, link)
+                connection.http.stream.close()
+                continue
+            if isinstance(link, No):
+                return Result(Ending.MOOT, Reach.UNWRITTEN, link.value)
+            latest = latest or now + min(self.plan.settings.wait_ms, (until - now) / 4.0)
+            if now >= latest:
+                self.counts.add("links", "none_in_time")
+                return Result(Ending.MOOT, Reach.UNWRITTEN, f"no connection: {link.cause}")  # no box's fault
+            if stopped():
+                return Result(Ending.CANCELLED, Reach.UNWRITTEN, "called off")
+            yield from self.wait(server, min(latest, now + link.ms))
+
+    def wait(self, server: str, until: float) -> Steps[None]:
+        """Wait until a connection of a box may have come free."""
+        queue, mark = self.waiting.setdefault(server, {}), object()
+        queue[mark] = wake = self.loop.this_task().wake
+        timer = self.loop.at(until, wake)
+        yield
+        timer.cancel()
+        queue.pop(mark, None)
+        if not queue and self.waiting.get(server) is queue:
+            del self.waiting[server]
+
+    def wake_one(self, server: str) -> None:
+        """Let the request that has waited longest for a box look again."""
+        queue = self.waiting.get(server)
+        if queue:
+            queue.pop(next(iter(queue)))()
+
+    def begin(self, link: Link, notify: Callable[[], object]) -> Connection | Result:
+        """Begin to open a connection."""
+        address: Any = link.box.address
+        stream = connect(self.loop, address, notify)
+        if isinstance(stream, OSError):
+            end = End.OURS if stream.errno in NO_DESCRIPTOR else End.REFUSED
+            return self.failed(link, end, str(stream))
+        self.counts.add("connections", "to_servers")
+        return Connection(link, ClientSide(stream))
+
+    def failed(self, link: Link, end: End, reason: str) -> Result:
+        """Tell the plan of a connection that did not come up, and word it for the module."""
+        dead = self.plan.failed(now_ms(), link, end)
+        self.loop.after(0.0, self.carry_out)
+        self.wake_one(link.box.id)
+        return Result(Ending.CONNECT_FAILED if dead else Ending.MOOT, Reach.UNWRITTEN, reason)
 
     def connected(self, connection: Connection, until: float, timers: list[Timer],
                   stopped: Callable[[], bool]) -> Steps[Result | None]:
         """Wait for a new connection to come up; nothing is written before it has."""
-        stream = connection.http.stream
+        stream, link = connection.http.stream, connection.link
         latest = now_ms() + self.connect_ms
         timers.append(self.loop.at(latest, stream.notify))
         while stream.connecting and not stream.ended:
-            if stopped():
-                return Result(Ending.CANCELLED, Reach.UNWRITTEN, "called off")
-            if now_ms() >= until:
+            if stopped() or now_ms() >= until:
+                self.plan.failed(now_ms(), link, End.LEFT)
+                if stopped():
+                    return Result(Ending.CANCELLED, Reach.UNWRITTEN, "called off")
                 return Result(Ending.TIMEOUT, Reach.UNWRITTEN, "no time left to connect")
             if now_ms() >= latest:
-                return Result(Ending.CONNECT_FAILED, Reach.UNWRITTEN, "connection did not come up")
+                return self.failed(link, End.SILENT, "connection did not come up")
             yield
         if stream.ended:
             # A connection reset as it comes up was taken by someone that lives; refused, there is nobody.
-            ending = Ending.MOOT if stream.error == errno.ECONNRESET else Ending.CONNECT_FAILED
-            return Result(ending, Reach.UNWRITTEN, f"connection refused ({stream.error})")
+            return self.failed(link, ended(stream.error), f"connection refused ({stream.error})")
+        self.plan.opened(now_ms(), link)
         return None
 
     def answered(self, connection: Connection, until: float, stopped: Callable[[], bool]) -> Steps[Result]:
         """Wait for the answer; it counts only when it is whole."""
-        http, stream = connection.http, connection.http.stream
+        http, stream, link = connection.http, connection.http.stream, connection.link
         while True:
             reply = http.reply()
             reach = Reach.UNWRITTEN if stream.outgoing else Reach.WRITTEN
             if isinstance(reply, Reply):
-                self.learn(connection, False)
+                self.plan.answered(now_ms(), link)
+                if b"keep-alive" in reply.headers:
+                    told = KEEP_ALIVE.search(reply.headers[b"keep-alive"])
+                    if told is not None:
+                        self.plan.told(link, float(told[1]))
                 verdict = self.wording.verdict(reply)
                 return Result(verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply,
                               verdict.report, verdict.used)
             if isinstance(reply, Broken) and reach and not stream.ended:
-                # A spoilt answer comes from a server that lives: an error of one request. Told as a reset it
-                # would count as the server's death, and the module would leave it alone and treat it as cold.
+                # A spoilt answer comes from a box that lives: an error of one request. Told as a reset it
+                # would count as the box's death, and the module would leave it alone and treat it as cold.
                 self.counts.add("servers", "spoilt_answers")
                 return Result(Ending.ERROR, reach, reply.reason)
             if isinstance(reply, Broken) or stream.ended:
                 # A connection that breaks before the last byte is written proves that nothing ran. Only one
-                # that never came up tells of its server: this one may have been closed as idle.
-                self.learn(connection, not http.head)
+                # that never came up tells of its box: this one may have been closed as idle.
+                if not http.head:
+                    self.counts.add("connections", "broken_when_used_again", link.idle_ms >= 0.0)
+                    self.plan.broke(now_ms(), link)
                 ending = Ending.RESET if reach else Ending.MOOT
                 return Result(ending, reach, reply.reason if reply else f"broken ({stream.error})")
             if stopped():
                 return Result(Ending.CANCELLED, reach, "called off")
             if now_ms() >= until:
+                if not http.head:
+                    self.plan.silent(now_ms(), link)
                 return Result(Ending.TIMEOUT, reach, "no answer in time")
             yield
 
     # Connections
 
-    def take(self, server: str) -> Connection | Result:
-        """Give an idle connection, the one used last, or begin a new one."""
-        address = self.fleet.addresses.get(server)
-        if address is None or server not in self.fleet.healthy:
-            return Result(Ending.MOOT, Reach.UNWRITTEN, "not in the list")
-        idle = self.idle.get(server)
-        while idle:
-            connection = idle.pop()
-            # The server may have closed it since epoll was last asked: what is written to a connection
-            # closed by the other side would end as a reset, which may have run.
-            connection.used = now_ms()
-            risk = self.broken[idle_class(connection.used - connection.idle_since)]
-            if connection.address == address and risk < BROKEN_MOST and connection.http.stream.alive():
-                return connection
-            self.drop(connection)
-        if self.open >= self.most:
-            self.evict()
-        if self.open >= self.most or self.by_server.get(server, 0) >= MOST_PER_SERVER:
-            return Result(Ending.MOOT, Reach.UNWRITTEN, "too many connections")  # no fault of the server
-        stream = connect(self.loop, address, self.loop.this_task().wake)
-        if isinstance(stream, OSError):
-            ours = stream.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-            return Result(Ending.MOOT if ours else Ending.CONNECT_FAILED, Reach.UNWRITTEN, str(stream))
-        self.open += 1
-        self.by_server[server] = self.by_server.get(server, 0) + 1
-        self.counts.add("connections", "to_servers")
-        return Connection(server, address, ClientSide(stream))
-
-    def release(self, connection: Connection, keep: bool) -> None:
-        """Keep a connection for the next attempt, or close it."""
-        if not keep or connection.server not in self.fleet.healthy:
-            return self.drop(connection)
-        connection.idle_since = now_ms()
-        connection.http.stream.notify = lambda: self.stirred(connection)
-        self.idle.setdefault(connection.server, deque()).append(connection)
+    def release(self, connection: Connection, keep: bool, cause: str) -> None:
+        """Put a connection away for the next attempt, or close it; one that never came up is counted already."""
+        link = connection.link
+        if link.state is State.OPENING:
+            self.plan.failed(now_ms(), link, End.LEFT)  # our own fault as it came up
+        if link.state is State.BUSY and self.plan.put(now_ms(), link, keep, cause):
+            connection.http.stream.notify = lambda: self.stirred(connection)
+        else:
+            connection.http.stream.close()
+        if self.plan.closing:
+            self.loop.after(0.0, self.carry_out)  # not now: a handler may close its own descriptor only
+        if self.waiting:
+            self.wake_one(link.box.id)
 
     def stirred(self, connection: Connection) -> None:
         """Drop an idle connection on which anything happens: only its end, or junk, can."""
-        idle = self.idle.get(connection.server)
-        if idle and connection in idle:
-            idle.remove(connection)
-            self.drop(connection)
+        self.plan.closed(now_ms(), connection.link)
+        connection.http.stream.close()
 
-    def learn(self, connection: Connection, broke: bool) -> None:
-        """Learn how kept connections fare by the time that they lay idle.
+    def carry_out(self) -> None:
+        """Close what the plan has retired."""
+        for link, _ in self.plan.closing:
+            if link.carrier is not None:
+                link.carrier.http.stream.close()
+        self.plan.closing.clear()
 
-        Servers may close sooner than told, without a word; what is written to such a one may have run.
-        """
-        if connection.used:
-            self.counts.add("connections", "broken_when_used_again", broke)
-            age = idle_class(connection.used - connection.idle_since)
-            self.broken[age] += BROKEN_GAIN * (broke - self.broken[age])
-
-    def drop(self, connection: Connection) -> None:
-        """Close a connection for good."""
-        connection.close()
-        self.open -= 1
-        left = self.by_server[connection.server] - 1
-        if left:
-            self.by_server[connection.server] = left
-        else:
-            del self.by_server[connection.server]
-
-    def evict(self) -> None:
-        """Close the connection that has been idle longest, to make room."""
-        oldest = min((idle[0] for idle in self.idle.values() if idle),
-                     key=lambda connection: connection.idle_since, default=None)
-        if oldest is not None:
-            self.idle[oldest.server].popleft()
-            self.drop(oldest)
-
-    def sweep(self) -> None:
-        """Close what has been idle too long, or leads to a server that wants nothing new."""
-        self.loop.after(1000.0, self.sweep)
-        self.broken = [BROKEN_KEPT * share for share in self.broken]
-        before = now_ms() - self.idle_ms
-        for server, idle in list(self.idle.items()):
-            while idle and (idle[0].idle_since < before or server not in self.fleet.healthy):
-                self.drop(idle.popleft())
-            if not idle:
-                del self.idle[server]
-
-
-def idle_class(idle_ms: float) -> int:
-    """Give the doublings of a time: connections idle for alike long fare alike."""
-    return min(32, int(idle_ms).bit_length())
+    def tick(self) -> None:
+        """Let the plan retire and open ahead."""
+        self.loop.after(TICK_MS, self.tick)
+        for link in self.plan.tick(now_ms()):
+            self.open_ahead(link)
+        self.carry_out()
+
+    def open_ahead(self, link: Link) -> None:
+        """Open a connection that no request waits for yet."""
+        connection = self.begin(link, lambda: self.risen(link, timer))
+        if isinstance(connection, Connection):
+            timer = self.loop.after(self.connect_ms, lambda: self.not_risen(link))
+
+    def risen(self, link: Link, timer: Timer) -> None:
+        """Put a connection away that was opened ahead and has come up; or it has not."""
+        stream = link.carrier.http.stream
+        timer.cancel()
+        if stream.ended:
+            self.failed(link, ended(stream.error), "opened ahead")
+            stream.close()
+        elif not stream.connecting:
+            self.plan.opened(now_ms(), link)
+            self.release(link.carrier, True, "")
+
+    def not_risen(self, link: Link) -> None:
+        """Give up a connection opened ahead that does not come up."""
+        self.failed(link, End.SILENT, "opened ahead")
+        link.carrier.http.stream.close()
+
+    def follow(self) -> None:
+        """Bring the plan up to date with the list of boxes."""
+        healthy = set(self.fleet.healthy)
+        for name in [name for name in self.plan.boxes if name not in healthy]:
+            self.plan.unlisted(name)
+        now = now_ms()
+        for name in healthy:
+            self.plan.listed(now, name, self.fleet.addresses[name], self.fleet.started.get(name))
+        self.loop.after(0.0, self.carry_out)
+
+    def describe(self) -> list[str]:
+        """Give the state of all connections in lines for people."""
+        return self.plan.snapshot(now_ms())
+
+
+def ended(error: int) -> End:
+    """Give how a connection ended that had not come up."""
+    return End.RESET if error == errno.ECONNRESET else End.REFUSED
