--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -127,6 +127,7 @@
         gc.set_threshold(GARBAGE, 20, 50)  # requests leave no cycles: connections alone do, and those are few
         self.loop.run()
         self.log.write(str(self.counts))
+        self.log.write(self.pool.describe()[0])
 
     def on_signals(self, numbers: bytes) -> None:
         """Print the counters, move to a new configuration, or begin the end."""
--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -87,8 +87,8 @@
 class Box:
     """What is known of one box's connections."""
 
-    __slots__ = ("id", "address", "listed", "started", "since", "life", "idle", "busy", "opening", "bound", "grown", "tokens",
-                 "tokens_at", "answered", "refusals", "refused", "dead_at", "peak", "last_peak", "missed", "wasted",
+    __slots__ = ("id", "address", "listed", "started", "since", "life", "idle", "busy", "opening", "bound", "grown",
+                 "tokens", "tokens_at", "answered", "refusals", "refused", "dead_at", "peak", "last_peak", "missed", "wasted",
                  "ahead_from", "warm_at", "looked", "kept_ms", "sure_ms", "hint_ms", "deaths", "hold_ms", "doubt",
                  "trying", "most", "opens", "stale")
 
--- a/petrelhall/operator/settings.py
+++ b/petrelhall/operator/settings.py
@@ -58,7 +58,7 @@
     reuse: Annotated[Literal["last_used", "oldest", "least_used"], Meta(description=(
         "which idle connection is used first"))] = "last_used"
     ahead: Annotated[int, Meta(ge=0, le=64, description=(
-        "spare connections opened ahead to a box whose requests had to wait for new ones"))] = 1
+        "spare connections opened ahead to a box whose requests had to wait for new ones"))] = 0
     warm_up_ms: Annotated[float, Meta(ge=0.0, le=600000.0, description=(
         "time over which a gateway that starts opens its first connection to each warm box, in an order of its "
         "own; 0 opens none ahead"))] = 0.0
--- /dev/null
+++ b/petrelhall/standins/counter.py
@@ -0,0 +1,60 @@
+"""The shared counter: numbers by name that calls add to, one text line a call."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import time
+
+from petrelhall.standins.wire import free_listener
+
+CALL = re.compile(rb"add ([^ ]{1,64}) (-?\d+(?:\.\d+)?) (\d+)")
+LONGEST_MS = 60000
+
+
+class Counter:
+    """Holds the numbers. Must be started inside a running event loop."""
+
+    def __init__(self, most_per_s: float = 1300.0) -> None:
+        self.numbers: dict[bytes, tuple[float, float]] = {}  # total, and when the name is forgotten
+        self.calls = self.errors = 0
+        self.pace_s, self.next_turn = 1.0 / most_per_s, 0.0
+        self.address: tuple[str, int] = ("127.0.0.1", 0)
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        sock = free_listener(self.address)
+        self.address = sock.getsockname()
+        self.server = await asyncio.start_server(self.converse, sock=sock)
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection, answers in the order of the calls."""
+        try:
+            while line := await reader.readline():
+                now = time.monotonic()
+                self.next_turn = max(now, self.next_turn) + self.pace_s
+                if self.next_turn - now > 0.002:
+                    await asyncio.sleep(self.next_turn - now)
+                writer.write(self.call(line.rstrip(b"\r\n")) + b"\r\n")
+        except (ConnectionError, ValueError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def call(self, line: bytes) -> bytes:
+        """Carry out one call."""
+        self.calls += 1
+        if line == b"ping":
+            return b"pong"
+        read = CALL.fullmatch(line)
+        if read is None:
+            self.errors += 1
+            return b"error"
+        now = time.monotonic()
+        total, until = self.numbers.get(read[1], (0.0, 0.0))
+        if until <= now:
+            total, until = 0.0, now + min(LONGEST_MS, int(read[3])) / 1000.0
+        total += float(read[2])
+        self.numbers[read[1]] = total, until
+        return b"ok %.7g" % total
