A command line, a demo and a soak for newcomers, and a box's own end told from idle limits

Need: a newcomer could not run the main job without the platform; a box that ended took its connections along, which was learned as an idle limit and met by a crowd of new connections before discovery told of the restart.

When all connections of a box end together it counts as ended and cold.

--- /dev/null
+++ b/petrelhall/cli/main.py
@@ -0,0 +1,25 @@
+"""``petrelhall SUBCOMMAND``."""
+
+from __future__ import annotations
+
+import click
+
+from petrelhall.cli.check import check
+from petrelhall.cli.demo import demo
+from petrelhall.cli.schema import schema
+from petrelhall.cli.soak import soak
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.version_option(package_name="petrelhall")
+def main() -> None:
+    """Tools round the petrelhall gateway.
+
+    \b
+    Exit codes: 0 done, 1 it found what it looks for (a failed check), 2 unusable input.
+    The gateway itself is `python -m petrelhall`.
+    """
+
+
+for command in (check, schema, demo, soak):
+    main.add_command(command)
--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -26,6 +26,7 @@
 CUT, GROW_MS = 0.7, 1000.0  # bound at a box after it refused; time in which the bound grows by one
 TOTAL_GROW_MS = 500.0  # the same for all connections, after the machine had no descriptor
 RAMP = 8.0  # pace of opening to a box that is nearly warm, over that to a cold one
+ALL_AT_ONCE = 3  # connections that end together, with none left, are their box's end
 SETTLE_MS = 150.0  # deaths of one box are looked at together: a box that ends takes all its connections along
 ALIKE = 1.3  # idle times within this ratio died of one limit
 WINDOW_MS = 1000.0  # in which the peak of a box's use is taken
@@ -88,9 +89,9 @@
     """What is known of one box's connections."""
 
     __slots__ = ("id", "address", "listed", "started", "since", "life", "idle", "busy", "opening", "bound", "grown",
-                 "tokens", "tokens_at", "answered", "refusals", "refused", "dead_at", "peak", "last_peak", "missed", "wasted",
-                 "ahead_from", "warm_at", "looked", "kept_ms", "sure_ms", "hint_ms", "deaths", "hold_ms", "doubt",
-                 "trying", "most", "opens", "stale")
+                 "tokens", "tokens_at", "answered", "refusals", "refused", "dead_at", "peak", "last_peak", "missed",
+                 "wasted", "ahead_from", "warm_at", "looked", "kept_ms", "sure_ms", "hint_ms", "deaths", "hold_ms",
+                 "doubt", "trying", "most", "opens", "stale", "ends", "ends_at")
 
     def __init__(self, name: str, address: object, bound: float, life: Survival) -> None:
         self.id, self.address, self.listed, self.life = name, address, True, life
@@ -108,6 +109,7 @@
         self.hold_ms = NEVER  # shortest idle time among those
         self.doubt, self.trying = 0.0, False  # idle since before this: in doubt; one of them is being tried
         self.most = self.opens = self.stale = 0
+        self.ends, self.ends_at = 0, -NEVER  # connections that ended by themselves within SETTLE_MS, and since when
 
     @property
     def open(self) -> int:
@@ -419,6 +421,8 @@
     def broke(self, now: float, link: Link) -> None:
         """A connection broke under a request before anything came back; it had died, or its box has."""
         box = link.box
+        if self.box_ended(now, box, box.busy + len(box.idle) - 1):
+            return
         if link.idle_ms < 0.0:
             box.life.fresh_use(now, True)
             if box.busy + len(box.idle) > 1 and now - box.answered < ALIVE_MS:
@@ -440,6 +444,23 @@
         box.deaths.append((now, idle_ms, seen))
         box.hold_ms = min(box.hold_ms, idle_ms)
 
+    def box_ended(self, now: float, box: Box, left: int) -> bool:
+        """Tell whether a box itself has ended, now that another connection did and so many are left.
+
+        What is there when it is back, or in its place, is cold, however late the list says so; and its
+        connections tell nothing of how long it keeps idle ones.
+        """
+        if now - box.ends_at > SETTLE_MS:
+            box.ends, box.ends_at = 0, now
+        box.ends += 1
+        if left or box.ends < ALL_AT_ONCE:
+            return False
+        self.counts["boxes.ended"] += 1
+        box.deaths.clear()
+        box.hold_ms = NEVER
+        self.begin_cold(now, box, now)
+        return True
+
     def silent(self, now: float, link: Link) -> None:
         """A request on a connection timed out without a byte: slow box or dead connection, nobody can tell.
 
@@ -498,8 +519,9 @@
         self.out_of_idle(link)
         self.close_counted(link)
         self.counts["retired.closed"] += 1
-        self.died(now, box, now - link.idle_since, True)
         self.unused(now, link)
+        if not self.box_ended(now, box, box.busy + len(box.idle)):
+            self.died(now, box, now - link.idle_since, True)
 
     def found_closed(self, now: float, link: Link) -> None:
         """A connection just taken was seen to be closed before anything was written to it."""
@@ -509,7 +531,8 @@
             box.trying, link.tried = False, False
         self.close_counted(link)
         self.counts["retired.closed"] += 1
-        self.died(now, box, link.idle_ms, False)
+        if not self.box_ended(now, box, box.busy + len(box.idle)):
+            self.died(now, box, link.idle_ms, False)
 
     # Retiring
 
--- a/petrelhall/standins/world.py
+++ b/petrelhall/standins/world.py
@@ -237,7 +237,7 @@
         elif fault.do == "slow":
             box.set(slow=fault.factor)
         elif fault.do in ("refuse", "hang", "mute"):
-            box.set(**{fault.do: True})
+            box.set(**{str(fault.do): True})
         elif fault.do == "cap":
             box.set(cap=fault.count)
         elif fault.do == "break":
