Close in on a box's idle limit by halves, and test connections down to each guard

Change: safe requests try the middle between the longest time survived and the shortest at which one was dead; where breaks are common anyway, a death discounts older survivors less.

--- a/petrelhall/links/limits.py
+++ b/petrelhall/links/limits.py
@@ -14,6 +14,7 @@
 FIRST_KNOWN = 8  # classes under this one (14 ms) are one block: what breaks there breaks for other reasons
 PRIOR = 4.0  # trials that nobody made, in which nothing died: keeps one death among few from being all
 CHANGE = 0.25  # weight left to older survivors of a time at which a connection was just found dead
+COMMON = 0.02  # share of uses that break anyway from which on a death tells nothing of older survivors
 SEED = 0.5  # deaths that a box new to us is held to have seen, from what was learned of the others
 FADE_TO = 40.0  # halvings after which the weights are scaled back, long before a float would overflow
 FLOOR_MS = 20.0  # kept for as long whatever was seen: no box closes sooner on purpose
@@ -70,9 +71,11 @@
     def broke(self, now: float, idle_ms: float) -> None:
         """A connection was found dead after lying idle for so long; older survivors now tell less."""
         number = age_class(idle_ms)
+        # Where connections break whatever their age, one that did is no sign of a limit that has changed.
+        kept = CHANGE + (1.0 - CHANGE) * min(1.0, self.baseline(now) / COMMON)
         self.dead[number] += self.weight(now)
         for later in range(number, CLASSES):
-            self.alive[later] *= CHANGE
+            self.alive[later] *= kept
 
     def closed(self, now: float, idle_ms: float) -> None:
         """A connection was seen closing at this idle time: it had lived until then."""
@@ -94,11 +97,12 @@
         uses = self.fresh + sum(self.dead[:FIRST_KNOWN]) + sum(self.alive[:FIRST_KNOWN])
         return dead / (uses + PRIOR * weight)
 
-    def limit(self, now: float, tolerance: float) -> float:
+    def limit(self, now: float, tolerance: float, bold: bool = True) -> float:
         """Give the idle time in ms up to which connections are worth keeping; NEVER where nothing speaks against.
 
         The chance to break, over the baseline, stays within the tolerance up to there. Between the last time
-        that was survived and the first at which one was found dead, the former is taken.
+        that was survived and the first at which one was found dead nothing is known: the ``bold`` go half the
+        way by classes, which closes in on the limit at the price of few deaths, the others none of it.
         """
         weight = self.weight(now)
         bound = tolerance + 1.5 * self.baseline(now)
@@ -112,12 +116,13 @@
             while len(blocks) > 1 and blocks[-2][0] * blocks[-1][1] >= blocks[-1][0] * blocks[-2][1]:
                 last = blocks.pop()
                 blocks[-1] = [blocks[-1][0] + last[0], blocks[-1][1] + last[1], blocks[-1][2], last[3]]
-        kept = 0.0
+        kept = 0  # the class after the last that was survived
         for deaths, trials, first, last_class in blocks:
             if deaths / (trials + PRIOR * weight) > bound:
-                # Nothing was survived below: half of the shortest time at which one was found dead.
-                return max(FLOOR_MS, kept or lower_edge(int(first)) / 2.0)
-            kept = lower_edge(int(last_class) + 1) if last_class + 1 < CLASSES else NEVER
+                if not kept:  # nothing was survived below: half of the shortest time at which one was dead
+                    return max(FLOOR_MS, lower_edge(int(first)) / 2.0)
+                return max(FLOOR_MS, lower_edge((kept + int(first) * bold) // (1 + bold)))
+            kept = int(last_class) + 1
         return NEVER
 
     def survived(self, now: float) -> float:
--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -277,7 +277,7 @@
         told = min(self.idle_ms, IDLE_SHARE * box.hint_ms)
         box.kept_ms = min(told, box.life.limit(now, tolerance))
         # Unharmed uses at some idle time are what a request needs whose repeat is not free.
-        sure = box.life.limit(now, 0.1 * tolerance)
+        sure = box.life.limit(now, 0.1 * tolerance, bold=False)
         box.sure_ms = min(sure, max(self.settings.stale.proven_ms, box.life.survived(now)))
 
     def hindered(self, now: float, box: Box) -> Wait | None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -91,7 +91,8 @@
     def listener(self) -> socket.socket:
         return self.stack.enter_context(listen())
 
-    def start(self, *servers: socket.socket, sockets: int = 1024, **config: Any) -> subprocess.Popen[str]:
+    def start(self, *servers: socket.socket, sockets: int = 1024, arguments: tuple[str, ...] = (),
+              **config: Any) -> subprocess.Popen[str]:
         with listen() as free:
             self.where = free.getsockname()
         listed = [entry(f"s{n}", address(server)) for n, server in enumerate(servers)]
@@ -105,7 +106,7 @@
         with open(path, "w") as file:
             json.dump(whole, file)
         self.whole = whole
-        command = [sys.executable, "-m", "petrelhall"]
+        command = [sys.executable, "-m", "petrelhall", *arguments]
         self.program = subprocess.Popen(command, env={**os.environ, "EDGE_CONFIG": path}, text=True,
                                         stderr=subprocess.PIPE)
         self.stack.callback(self.end)
@@ -117,6 +118,19 @@
             file.write(content)
         self.program.send_signal(signal.SIGHUP)
 
+    def heard(self, pattern: str) -> str:
+        """Wait until the program has written a line that a pattern is found in."""
+        assert self.program.stderr is not None
+        timer = threading.Timer(PATIENCE_S, self.program.kill)  # ends the wait
+        timer.start()
+        lines = []
+        for line in self.program.stderr:
+            lines.append(line)
+            if re.search(pattern, line):
+                timer.cancel()
+                return line
+        raise AssertionError(f"{pattern!r} not in {lines}")
+
     def end(self) -> None:
         if self.program.poll() is None:
             self.program.kill()
