--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -12,6 +12,7 @@
 MOST_BODY = 65536
 MOST_INTERIM = 8  # answers of 1xx in front of the final one
 Headers = list[tuple[bytes, bytes]]
+END = h11.EndOfMessage()  # made once, since h11 checks its headers, of which there are none, at each making
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +130,7 @@
             data = self.http.send(h11.Response(status_code=status, headers=fields)) or b""
             if body:
                 data += self.http.send(h11.Data(data=body)) or b""
-            data += self.http.send(h11.EndOfMessage()) or b""
+            data += self.http.send(END) or b""
         except h11.LocalProtocolError:
             return False
         self.stream.write(data)
@@ -159,7 +160,7 @@
         data = self.http.send(h11.Request(method=method, target=target, headers=headers)) or b""
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
-        data += self.http.send(h11.EndOfMessage()) or b""
+        data += self.http.send(END) or b""
         self.stream.write(data)
 
     def reply(self, most: int = MOST_BODY) -> Reply | Broken | None:
--- a/petrelhall/links/limits.py
+++ b/petrelhall/links/limits.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+from array import array
+
 CLASSES = 72  # the last begins at 458 s
 FIRST_KNOWN = 8  # classes under this one (14 ms) are one block: what breaks there breaks for other reasons
 PRIOR = 4.0  # trials that nobody made, in which nothing died: keeps one death among few from being all
@@ -40,30 +42,36 @@
 class Survival:
     """What was seen of one box's kept connections, or of all boxes' together."""
 
-    __slots__ = ("half_ms", "origin", "alive", "dead", "fresh", "fresh_broken")
+    __slots__ = ("half_ms", "origin", "alive", "dead", "fresh", "fresh_broken", "deaths")
 
     def __init__(self, now: float, half_ms: float, prior: Survival | None = None) -> None:
         self.half_ms, self.origin = half_ms, now
-        self.alive, self.dead = [0.0] * CLASSES, [0.0] * CLASSES
+        self.alive, self.dead = array("d", bytes(8 * CLASSES)), array("d", bytes(8 * CLASSES))
+        self.deaths = 0  # ever seen: while there is none, there is nothing to estimate
         self.fresh = self.fresh_broken = 0.0  # uses of connections that never lay idle, and those that broke
         if prior is not None:
             weight = prior.weight(now)
             dead = sum(prior.dead) / weight
             scale = min(1.0, SEED / dead) / weight if dead else 0.0
-            self.alive = [scale * count for count in prior.alive]
-            self.dead = [scale * count for count in prior.dead]
+            if dead:
+                self.scale(scale, prior)
+                self.deaths = 1
 
     def weight(self, now: float) -> float:
         """Give the weight of a trial made now: later ones weigh more, which is as well as fading the earlier."""
         halvings = (now - self.origin) / self.half_ms
         if halvings > FADE_TO:
             scale = 0.5**halvings
-            self.alive = [scale * count for count in self.alive]
-            self.dead = [scale * count for count in self.dead]
+            self.scale(scale, self)
             self.fresh, self.fresh_broken, self.origin = scale * self.fresh, scale * self.fresh_broken, now
             return 1.0
         return float(2.0**halvings)
 
+    def scale(self, factor: float, other: Survival) -> None:
+        """Take the counts of another, or its own, times a factor."""
+        self.alive = array("d", [factor * count for count in other.alive])
+        self.dead = array("d", [factor * count for count in other.dead])
+
     def served(self, now: float, idle_ms: float) -> None:
         """A connection served after lying idle for so long."""
         self.alive[age_class(idle_ms)] += self.weight(now)
@@ -74,6 +82,7 @@
         # Where connections break whatever their age, one that did is no sign of a limit that has changed.
         kept = CHANGE + (1.0 - CHANGE) * min(1.0, self.baseline(now) / COMMON)
         self.dead[number] += self.weight(now)
+        self.deaths += 1
         for later in range(number, CLASSES):
             self.alive[later] *= kept
 
@@ -104,6 +113,8 @@
         that was survived and the first at which one was found dead nothing is known: the ``bold`` go half the
         way by classes, which closes in on the limit at the price of few deaths, the others none of it.
         """
+        if not self.deaths:
+            return NEVER
         weight = self.weight(now)
         bound = tolerance + 1.5 * self.baseline(now)
         blocks: list[list[float]] = []  # deaths, trials, first class, last class; chances rise from block to block
@@ -128,7 +139,10 @@
     def survived(self, now: float) -> float:
         """Give the longest idle time that was lately survived, 0 where none was."""
         least = 0.1 * self.weight(now)
-        return max((lower_edge(number) for number in range(CLASSES) if self.alive[number] > least), default=0.0)
+        for number in range(CLASSES - 1, -1, -1):
+            if self.alive[number] > least:
+                return lower_edge(number)
+        return 0.0
 
     def interval(self, now: float) -> tuple[float, float]:
         """Give what the limit is known to lie between: longest time survived, shortest at which one was dead."""
--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -20,12 +20,13 @@
 from petrelhall.operator.settings import Links
 
 IDLE_SHARE = 0.8  # of the platform's word on idle connections that is used
-FRESH_MS = 250.0  # between two looks at what a box's kept connections have shown
+FRESH_MS = 1000.0  # between two looks at what a box's kept connections have shown, unless one died
 ALIVE_MS = 1500.0  # after an answer in which a box is held to live, though it refused a connection
 REFUSALS = 3  # in a row, without an answer between, after which a box that lived is taken for dead
 CUT, GROW_MS = 0.7, 1000.0  # bound at a box after it refused; time in which the bound grows by one
 TOTAL_GROW_MS = 500.0  # the same for all connections, after the machine had no descriptor
 RAMP = 8.0  # pace of opening to a box that is nearly warm, over that to a cold one
+LOOKS = 64  # of those in one tick, so that thousands of boxes don't hold up serving
 ALL_AT_ONCE = 3  # connections that end together, with none left, are their box's end
 SETTLE_MS = 150.0  # deaths of one box are looked at together: a box that ends takes all its connections along
 ALIKE = 1.3  # idle times within this ratio died of one limit
@@ -577,11 +578,13 @@
         if new_window:
             self.windowed = now
         ahead: list[Link] = []
+        looks = LOOKS
         for box in self.boxes.values():
             if box.deaths and now - box.deaths[0][0] >= SETTLE_MS:
                 self.settle(now, box)
             if box.idle:
-                if now - box.looked > FRESH_MS:
+                if looks and now - box.looked > FRESH_MS:
+                    looks -= 1
                     self.look(now, box)
                 while box.idle and now - box.idle[0].idle_since >= box.kept_ms:
                     self.unused(now, box.idle[0])
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -51,7 +51,7 @@
             until = now_ms() + within_ms
             self.results.append((yield from pool.attempt("s0", ASKED, until, lambda: False, free)))
 
-        self.loop.spawn(steps())
+        self.addCleanup(self.loop.spawn(steps()).steps.close)
 
     def turn_until(self, done: Any) -> None:
         until = now_ms() + PATIENCE_S * 1000.0
