--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -27,6 +27,7 @@
 TOTAL_GROW_MS = 500.0  # the same for all connections, after the machine had no descriptor
 RAMP = 8.0  # pace of opening to a box that is nearly warm, over that to a cold one
 LOOKS = 64  # of those in one tick, so that thousands of boxes don't hold up serving
+REFRESH = 0.5  # share of its allowed idle time after which a connection that is still needed is used first
 ALL_AT_ONCE = 3  # connections that end together, with none left, are their box's end
 SETTLE_MS = 150.0  # deaths of one box are looked at together: a box that ends takes all its connections along
 ALIKE = 1.3  # idle times within this ratio died of one limit
@@ -247,9 +248,19 @@
         kept = min(box.kept_ms, box.hold_ms)
         while box.idle and now - box.idle[0].idle_since >= kept:  # the longest idle come first
             self.retire(box.idle[0], "idle")
+        if not box.idle:
+            return None
         sure = kept if free else min(kept, box.sure_ms)
         order = self.settings.reuse
         if order == "last_used":
+            # One that will be wanted again, since as many were in use just now, is used before it grows too old:
+            # left to die it would only have to be opened anew.
+            oldest = box.idle[0]
+            age = now - oldest.idle_since
+            if (age > REFRESH * kept and age < sure and box.open <= max(box.peak, box.last_peak)
+                    and now < oldest.until and oldest.idle_since >= box.doubt):
+                oldest.tried = False
+                return oldest
             candidates: Iterable[Link] = reversed(box.idle)
         elif order == "oldest":
             candidates = sorted(box.idle, key=lambda link: link.opened)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -340,6 +340,19 @@
                     plan.put(T0 + 10.0 + number, links[number], True)
                 self.assertIs(plan.take(T0 + 20.0, "b0", True), links[wanted])
 
+    def test_a_connection_that_is_still_needed_is_used_before_it_grows_too_old(self) -> None:
+        plan = self.plan(stale=Stale(idle_ms=1000.0))
+        links = self.idle(plan, 3)
+        link = self.up(plan, T0 + 400.0)
+        self.assertIs(link, links[2])  # the last used, while all are young
+        self.used(plan, T0 + 410.0, link)
+        link = self.up(plan, T0 + 600.0)
+        self.assertIs(link, links[0])  # three were in use a moment ago
+        self.used(plan, T0 + 610.0, link)
+        for step in range(3):  # their need is over: the last used again, and the others age
+            plan.tick(T0 + 1000.0 * step)
+        self.assertEqual(plan.boxes["b0"].last_peak, 0)
+
     def test_after_a_death_no_sibling_as_old_is_used_even_before_it_is_understood(self) -> None:
         plan = self.plan()
         self.idle(plan, 4)
