--- a/petrelhall/cli/main.py
+++ b/petrelhall/cli/main.py
@@ -8,6 +8,7 @@
 from petrelhall.cli.demo import demo
 from petrelhall.cli.schema import schema
 from petrelhall.cli.soak import soak
+from petrelhall.cli.standin import standin
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
@@ -21,5 +22,5 @@
     """
 
 
-for command in (check, schema, demo, soak):
+for command in (check, schema, demo, soak, standin):
     main.add_command(command)
--- a/petrelhall/standins/world.py
+++ b/petrelhall/standins/world.py
@@ -166,13 +166,17 @@
         else:
             put()
 
-    async def start(self, folder: str) -> None:
-        """Start everything, and wait until all gateways are ready."""
-        setup = self.setup
-        for _ in range(setup.boxes):
+    async def start_boxes(self) -> None:
+        """Start boxes and the discovery that lists them."""
+        for _ in range(self.setup.boxes):
             self.boxes.append(self.add_box(False))
             self.tell(self.boxes[-1])
         await self.discovery.start()
+
+    async def start(self, folder: str) -> None:
+        """Start everything, and wait until all gateways are ready."""
+        setup = self.setup
+        await self.start_boxes()
         await self.counter.start()
         listen, mail = [free_port() for _ in range(setup.gateways)], [free_datagram() for _ in range(setup.gateways)]
         relay = Relay(mail)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -268,6 +268,11 @@
         self.assertIsInstance(plan.take(warm, "b0", True), Link)
         self.assertIsInstance(plan.take(warm, "b0", True), Link)
 
+    def test_a_cold_box_that_is_slow_to_take_connections_has_two_coming_up_at_most(self) -> None:
+        plan = self.plan(started=T0 - 1.0)
+        got = [plan.take(T0 + 100.0 * step, "b0", True) for step in range(50)]
+        self.assertEqual(sum(isinstance(link, Link) for link in got), 2)
+
     def test_40_gateways_do_not_meet_at_a_box_that_just_started(self) -> None:
         plans = [self.plan(started=T0 - 1.0, gateways=40, seed=seed) for seed in range(40)]
         opened = 0
