Tests that fail without each guard of the connections' core and pool

Change: tests for connections coming up at a slow cold box, the pause of spares, closes seen from both sides, a close that epoll has not told yet, a drain while connecting with a real message, and doubt on sockets.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -82,6 +82,13 @@
             (life.broke if draw.random() < 1 / 30 else life.served)(now, idle)
         self.assertGreater(life.limit(now, 0.01), 100.0)
 
+    def test_connections_seen_closing_tell_the_limit_from_both_sides(self) -> None:
+        life = Survival(T0, HALF_MS)
+        for _ in range(5):
+            life.closed(T0, 500.0)
+        self.assertGreater(life.limit(T0, 0.01), 400.0)
+        self.assertLessEqual(life.limit(T0, 0.01), 500.0)
+
     def test_whatever_was_seen_connections_are_kept_a_little(self) -> None:
         life = Survival(T0, HALF_MS)
         for _ in range(50):
@@ -327,8 +334,10 @@
         plan.put(T0 + 101.0, ahead[0], True)
         self.assertEqual(plan.tick(T0 + 200.0), [])  # there is a spare
         plan.closed(T0 + 300.0, ahead[0])  # for nothing
+        links += [self.up(plan, T0 + 310.0) for _ in range(3)]
         self.assertEqual(plan.tick(T0 + 400.0), [])
-        self.assertEqual(len(links), 3)
+        links += [self.up(plan, T0 + 3000.0) for _ in range(3)]
+        self.assertEqual(len(plan.tick(T0 + 3001.0)), 1)
         self.assertEqual(plan.counts["ahead.wasted"], 1)
 
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -19,7 +19,7 @@
 from petrelhall.links.plan import Plan
 from petrelhall.links.pool import Pool
 from petrelhall.net.counts import Counts
-from petrelhall.net.loop import Loop, now_ms
+from petrelhall.net.loop import Loop, Task, now_ms
 from petrelhall.operator.settings import Links
 from tests.peers import PATIENCE_S, PROFILE, Story, address, ask, entry, listen, read_message, reply
 
@@ -140,6 +140,55 @@
         self.assertEqual(self.plan.counts["retired.closed"], 1)
         self.assertEqual(self.plan.counts["stale"], 0)
 
+    def test_a_close_that_epoll_has_not_told_yet_is_seen_before_anything_is_written(self) -> None:
+        pool = self.pool()
+        self.attempt(pool)
+        self.serve(self.accept())
+        self.held[0].close()
+        steps = pool.obtain("s0", now_ms() + 1000.0, lambda: False, True)
+        taken: list[Any] = []
+
+        def run() -> Any:
+            taken.append((yield from steps))
+
+        self.loop.step(Task(self.loop, run()))  # without a look at the sockets
+        self.assertEqual(self.plan.counts["retired.closed"], 1)
+        self.assertEqual(self.plan.counts["opened.needed"], 2)
+
+    def test_an_attempt_that_still_connects_when_its_box_drains_is_not_written(self) -> None:
+        self.box.close()
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as server, \
+                socket.create_connection(server.getsockname()):  # its queue is full: connecting takes long
+            self.box = server
+            pool = self.pool()
+            pool.connect_ms = 5000.0
+            self.attempt(pool, 8000.0)
+            self.turn_until(lambda: pool.open)
+            drains = entry("s0", address(server), "Terminating")
+            self.fleet.take({"version": 2, "full": False, "servers": [drains]})
+            server.settimeout(PATIENCE_S)
+            server.accept()[0].close()  # room in the queue: the connection comes up
+            self.turn_until(lambda: self.results)
+            sock = server.accept()[0]
+            sock.settimeout(PATIENCE_S)
+            self.assertEqual(sock.recv(100), b"")
+            sock.close()
+        self.assertEqual((self.results[0].ending, self.results[0].reach), (Ending.MOOT, Reach.UNWRITTEN))
+
+    def test_a_silent_box_puts_the_siblings_of_the_silent_connection_in_doubt(self) -> None:
+        pool = self.pool()
+        for _ in range(2):
+            self.attempt(pool)
+        for sock in (self.accept(), self.accept()):
+            self.serve(sock)
+        self.attempt(pool, 150.0)
+        self.turn_until(lambda: len(self.results) == 3)
+        self.assertEqual(self.results[2].ending, Ending.TIMEOUT)
+        self.assertEqual(self.plan.counts["doubted"], 1)
+        self.attempt(pool, free=False)
+        self.accept()  # a new connection, though one lies idle
+        self.assertEqual(self.plan.counts["opened.needed"], 3)
+
     def test_a_box_that_closes_just_as_we_write_may_have_run_the_request(self) -> None:
         pool = self.pool()
         self.attempt(pool)
@@ -182,6 +231,8 @@
             self.turn_until(lambda: len(self.results) == 21)
         self.assertEqual({result.ending for result in self.results[1:]}, {Ending.MOOT})
         self.assertLess(len(calls), 5)  # the bound on all fell to what there is
+        self.assertEqual(self.plan.counts["failed.ours"], len(calls))
+        self.assertEqual(self.plan.boxes["s0"].bound, 64.0)
         self.assertEqual(self.plan.open, 1)
 
     def test_a_spare_opened_ahead_serves_the_next_request(self) -> None:
