Move traffic between two pools by measurement: pools, a judge, a move, its wiring

Need: a new build comes onto some boxes; traffic should move to it in steps, stop when what is measured worsens, and go back without help.

--- a/petrelhall/boxes/fleet.py
+++ b/petrelhall/boxes/fleet.py
@@ -20,6 +20,8 @@
         self.addresses: dict[str, Address] = {}
         self.healthy: set[str] = set()
         self.started: dict[str, float | None] = {}  # Unix ms, 0 for long ago, None where the list does not say
+        self.entries: dict[str, dict[str, Any]] = {}  # as discovery told them
+        self.label: Callable[[dict[str, Any]], str | None] = lambda entry: ""  # a box's pool; None: in no use
         self.changed: Callable[[], None] = lambda: None  # called after each change, before the module is told
 
     def take(self, listing: Any, kind: str | None = None) -> api.ServerList:
@@ -33,13 +35,15 @@
         read = [self.line(entry) for entry in listing["servers"]]
         told = {entry["id"] for entry in listing["servers"] if entry.get("started_ms") is not None}
         if kind != "delta":
-            self.addresses, self.healthy, self.started = {}, set(), {}
-        for server, address in read:
+            self.addresses, self.healthy, self.started, self.entries = {}, set(), {}, {}
+        for (server, address), entry in zip(read, listing["servers"], strict=True):
             self.healthy.discard(server.address)
             if server.phase == "deregistered":
                 self.addresses.pop(server.address, None)
                 self.started.pop(server.address, None)
+                self.entries.pop(server.address, None)
                 continue
+            self.entries[server.address] = entry
             self.addresses[server.address] = address
             self.started[server.address] = server.since_ms if server.address in told else None
             if server.phase == "healthy":
@@ -51,6 +55,11 @@
         lines = tuple(server for server, _ in read if kind == "delta" or server.phase != "deregistered")
         return api.ServerList(kind, lines)
 
+    def relabel(self) -> api.ServerList:
+        """Name the pools of all boxes anew, and give the list in the module's terms."""
+        entries = list(self.entries.values())
+        return self.take({"version": self.version, "full": False, "servers": entries})
+
     def line(self, entry: Any) -> tuple[api.Server, Address]:
         """Read one server."""
         if not isinstance(entry, dict) or not isinstance(entry.get("id"), str) or not entry["id"]:
@@ -59,9 +68,11 @@
         gone = phase == "deregistered"
         address = ("", 0) if gone and not entry.get("addr") else parse_address(str(entry.get("addr")))
         weight = entry.get("weight")
+        pool = self.label(entry)
         server = api.Server(
-            entry["id"], self.zone(entry.get("zone")), int(entry.get("cell") or 0), phase,
-            1.0 if weight is None else float(weight), float(entry.get("started_ms") or 0.0),
+            entry["id"], self.zone(entry.get("zone")), int(entry.get("cell") or 0),
+            "cordoned" if pool is None and not gone else phase,
+            1.0 if weight is None else float(weight), float(entry.get("started_ms") or 0.0), pool or "",
         )
         return server, address
 
--- a/petrelhall/cli/main.py
+++ b/petrelhall/cli/main.py
@@ -7,6 +7,7 @@
 from petrelhall.cli.check import check
 from petrelhall.cli.demo import demo
 from petrelhall.cli.schema import schema
+from petrelhall.cli.shift import shift
 from petrelhall.cli.soak import soak
 from petrelhall.cli.standin import standin
 
@@ -22,5 +23,5 @@
     """
 
 
-for command in (check, schema, demo, soak, standin):
+for command in (check, schema, demo, shift, soak, standin):
     main.add_command(command)
--- a/petrelhall/decide/interface.py
+++ b/petrelhall/decide/interface.py
@@ -130,6 +130,7 @@
     phase: str = "healthy"
     weight: float = 1.0
     since_ms: float = 0.0
+    pool: str = ""  # the operators' name for a part of the fleet
 
 
 @dataclass(frozen=True)
@@ -152,6 +153,7 @@
     units: float = 1.0
     set_size: int = 1
     repeat: bool = False
+    pools: tuple[str, ...] = ()  # among whose servers it may go, in order; empty: all
 
 
 @dataclass(frozen=True)
--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -335,9 +335,15 @@
             self.pace = max(PACE_MIN, LIMIT_START * len(self.ready) / self.settings.gateways)
 
     def pick(self, job: Job) -> Link | None:
+        """Pick a server, in the first of the request's pools that has one with room."""
+        pools = job.event.pools
+        ways = ([link for link in self.ready if link.server.pool == pool] for pool in pools)
+        return next(filter(None, (self.least(job, way) for way in (ways if pools else [self.ready]))), None)
+
+    def least(self, job: Job, ready: list[Link]) -> Link | None:
         """Pick the least expected wait among servers with room, by work out and measured slowness."""
         best, least = None, math.inf
-        for link in self.random.sample(self.ready, min(SAMPLE, len(self.ready))):
+        for link in self.random.sample(ready, min(SAMPLE, len(ready))):
             ramp = self.cold_room(link)
             quiet = link.out > 0 and link.heard < self.now - QUIET_WAIT * job.kind.aim_ms < link.sent
             used = any(attempt.link is link for attempt in job.attempts)
--- a/petrelhall/gateway/peers.py
+++ b/petrelhall/gateway/peers.py
@@ -12,6 +12,7 @@
 from petrelhall.net.stream import NEW_SOCKET, Address
 
 MOST = 256  # bytes in a datagram
+SHIFT = b"\x53"  # begins what gateways say of a move between pools; the module's own begin with its version
 
 
 class Peers:
@@ -21,6 +22,7 @@
                  tell: Callable[[api.PeerMessage], None], counts: Counts) -> None:
         self.numbers = {peer: number for number, peer in enumerate(peers) if number != position}
         self.everyone, self.tell, self.counts = everyone, tell, counts
+        self.on_shift: Callable[[int, bytes], None] = lambda number, content: None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | NEW_SOCKET)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(own)
@@ -48,4 +50,7 @@
             self.counts.add("peers", "dropped")
             return
         self.counts.add("peers", "received")
-        self.tell(api.PeerMessage(number, content))
+        if content[:1] == SHIFT:
+            self.on_shift(number, content)
+        else:
+            self.tell(api.PeerMessage(number, content))
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+from typing import TYPE_CHECKING
 
 from petrelhall.boxes.discovery import Watch
 from petrelhall.boxes.fleet import Fleet
@@ -30,6 +31,9 @@
 from petrelhall.operator.file import OperatorError, differences, read
 from petrelhall.operator.settings import File
 
+if TYPE_CHECKING:
+    from petrelhall.gateway.shifting import Shifter
+
 OWN_SOCKETS = 40  # descriptors for all but clients and servers, with some to spare
 LAST_MS = 2000.0  # after the last request's deadline, to end whatever would not end by itself
 GARBAGE = 20000  # objects made and not freed between two looks for cycles
@@ -55,8 +59,12 @@
         self.pool = Pool(self.loop, self.fleet, platform, self.counts, plan, config.connect_timeout_ms)
         desk = Desk(self.loop, self.dispatcher.tell, self.pool, self.counts, settings.max_retry_after_ms)
         self.dispatcher.to_request = desk.give
+        self.desk = desk
+        self.shifter: Shifter | None = None
+        self.peers: Peers | None = None
         self.join_others()
         self.dispatcher.tell(api.Started())
+        self.shift()
         self.start_list()
         self.front = Front(self.loop, config.listen, platform, desk, lambda: bool(self.fleet.addresses),
                            self.counts, log, clients)
@@ -66,12 +74,26 @@
         """Open the ways to the other gateways that the configuration names."""
         config, tell = self.config, self.dispatcher.tell
         if config.settings.peers and config.peer_listen and config.peers_all:
-            peers = Peers(self.loop, config.peer_listen, config.peers, config.peers_all,
+            self.peers = Peers(self.loop, config.peer_listen, config.peers, config.peers_all,
                           config.settings.position, tell, self.counts)
-            self.dispatcher.to_peers = peers.send
+            self.dispatcher.to_peers = self.peers.send
         if config.settings.counter and config.counter:
             self.counter = self.counter_at(config.counter)
 
+    def shift(self) -> None:
+        """Take the operators' pools and move; what that needs is loaded only where they have set some."""
+        settings = self.operator.shift
+        if self.shifter is None:
+            if settings is None:
+                return
+            from petrelhall.gateway.shifting import Shifter
+            self.shifter = Shifter(self.loop, self.fleet, self.pool.plan, self.dispatcher.tell, self.counts, self.log,
+                                   self.config.classes, self.config.plans)
+            if self.peers is not None:
+                self.shifter.to_peers, self.peers.on_shift = self.peers.send, self.shifter.heard
+        self.shifter.configure(settings)
+        self.desk.sides = self.shifter if settings is not None else None
+
     def counter_at(self, address: Address) -> CounterClient:
         """Have calls to the counter go to an address."""
         wait_ms = self.config.settings.counter_wait_ms
@@ -102,6 +124,7 @@
         if changes:
             self.operator = operator
             self.pool.plan.configure(operator.links)
+            self.shift()
             self.log.write(f"operators' file taken over: {', '.join(changes)}")
         if new.discovery != self.watch.address:
             self.watch = self.watch.moved(new.discovery)
@@ -127,14 +150,15 @@
         gc.set_threshold(GARBAGE, 20, 50)  # requests leave no cycles: connections alone do, and those are few
         self.loop.run()
         self.log.write(str(self.counts))
-        self.log.write(self.pool.describe()[0])
+        for line in self.pool.describe()[:1] + (self.shifter.describe() if self.shifter else []):
+            self.log.write(line)
 
     def on_signals(self, numbers: bytes) -> None:
         """Print the counters, move to a new configuration, or begin the end."""
         for number in numbers:
             if number == signal.SIGUSR1:
                 self.log.write(str(self.counts))
-                for line in self.pool.describe():
+                for line in self.pool.describe() + (self.shifter.describe() if self.shifter else []):
                     self.log.write(line)
             elif number == signal.SIGHUP:
                 self.loop.guard(self.reload)
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -101,6 +101,16 @@
         self.wake()
 
 
+class Sides(Protocol):
+    """Whoever says among which boxes a request may go, and wants to hear how attempts end."""
+
+    def pools(self, request: Request) -> tuple[str, ...]:
+        """Give the pools that a request may go to, in order; empty for all boxes."""
+
+    def ended(self, request: Request, pools: tuple[str, ...], server: str, result: Result, took_ms: float) -> None:
+        """Hear how a request's first attempt ended."""
+
+
 class Desk:
     """Where requests meet the module and the servers."""
 
@@ -108,6 +118,7 @@
                  retry_after_ms: float) -> None:
         self.loop, self.tell, self.servers, self.counts = loop, tell, servers, counts
         self.retry_after_ms = retry_after_ms
+        self.sides: Sides | None = None  # none: any box for any request
         self.tickets: dict[int, Ticket] = {}
         self.last = 0
 
@@ -137,9 +148,10 @@
         until = now_ms() + request.left_ms
         overdue = self.loop.at(until + OVERDUE_MS, ticket.wake)
         attempts, may_have_run = 0, False
+        pools = self.sides.pools(request) if self.sides is not None else ()
         self.tell(api.Arrival(
             ticket.id, request.request_class, request.plan, request.customer, request.left_ms, request.units,
-            request.set_size, request.repeat,
+            request.set_size, request.repeat, pools,
         ))
         try:
             while True:
@@ -174,6 +186,8 @@
                     ticket.id, attempts, order.server, result.ending, now_ms() - started,
                     served or caller.gone, result.used, None, dict(result.report),
                 ))
+                if self.sides is not None and not attempts:  # later ones are of requests that went badly
+                    self.sides.ended(request, pools, order.server, result, now_ms() - started)
                 attempts += 1
                 if caller.gone:
                     return None
--- a/petrelhall/operator/file.py
+++ b/petrelhall/operator/file.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import difflib
+import itertools
 import re
-from typing import Any, get_type_hints
+import types
+from typing import Any, get_args, get_type_hints
 
 import msgspec
 
-from petrelhall.operator.settings import File, Links
+from petrelhall.operator.settings import File, Links, Shift
 
 AT = re.compile(r" - at `\$(?P<path>[^`]*)`$")
 UNKNOWN = re.compile(r"unknown field `(?P<key>[^`]*)`")
 MOST_BYTES = 1024 * 1024
+STEP = re.compile(r"[^\[\]]+|\[[^\]]*\]")  # of a path: a key, or a place in a list
 SHOWN = 60  # characters of a value that a message quotes
 
 
@@ -43,11 +46,48 @@
         raise OperatorError(explain(str(error), msgspec.json.decode(content))) from None
     except msgspec.DecodeError as error:
         raise OperatorError(f"not JSON: {error}") from None
-    for reason in contradictions(file.links):
+    for reason in contradictions(file.links) + (unfit(file.shift) if file.shift is not None else []):
         raise OperatorError(reason)
     return file
 
 
+def unfit(shift: Shift) -> list[str]:
+    """Give what is wrong with pools and a move that are each well formed."""
+    found = []
+    names = [pool.name for pool in shift.pools]
+    for number, pool in enumerate(shift.pools):
+        where = f"shift.pools[{number}]"
+        if names.index(pool.name) != number:
+            found.append(f"{where}.name: {pool.name!r} is there twice")
+        if (pool.kind, pool.zone, pool.cell, pool.id) == (None, None, None, None):
+            found.append(f"{where}: states no condition, so it would hold every box")
+        if pool.id is not None:
+            try:
+                re.compile(pool.id)
+            except re.error as error:
+                found.append(f"{where}.id: {pool.id!r} is no regular expression: {error}")
+    if shift.default and shift.default not in names:
+        found.append(f"shift.default: {shift.default!r} is none of the pools: {', '.join(names)}")
+    move = shift.move
+    if move is None:
+        return found
+    for field in ("source", "target"):
+        if getattr(move, field) not in names:
+            found.append(f"shift.move.{field}: {getattr(move, field)!r} is none of the pools: {', '.join(names)}")
+    if move.source == move.target:
+        found.append(f"shift.move.target: {move.target!r} is the source as well")
+    if move.worse.accepted < move.worse.tolerated:
+        found.append(f"shift.move.worse.accepted: {move.worse.accepted:g} is below shift.move.worse.tolerated, "
+                     f"{move.worse.tolerated:g}")
+    shares = [step.share for step in move.steps]
+    if any(later <= earlier for earlier, later in itertools.pairwise(shares)):
+        found.append(f"shift.move.steps: shares must rise, not {shares}")
+    for number, window in enumerate(move.closed):
+        if window.end_s <= window.start_s:
+            found.append(f"shift.move.closed[{number}]: ends before it starts")
+    return found
+
+
 def contradictions(links: Links) -> list[str]:
     """Give what is right by itself and cannot hold together."""
     found = []
@@ -75,8 +115,11 @@
         near = difflib.get_close_matches(unknown["key"], known, 1, 0.5)
         hint = f"did you mean {near[0]!r}?" if near else f"known here: {', '.join(sorted(known))}"
         return f"{'.'.join([*steps, unknown['key']])}: unknown; {hint}"
-    for step in steps:
-        value = value.get(step) if isinstance(value, dict) else None
+    for part in (part for step in steps for part in STEP.findall(step)):
+        if isinstance(value, dict):
+            value = value.get(part)
+        elif isinstance(value, list) and part.startswith("["):
+            value = None if part == "[...]" else value[int(part[1:-1])]
     shown = msgspec.json.encode(value).decode()
     shown = shown if len(shown) <= SHOWN else shown[:SHOWN] + "..."
     return f"{'.'.join(steps) or 'the file'}: {shown} cannot be used: {reason[:1].lower()}{reason[1:]}"
@@ -86,7 +129,9 @@
     """Give the keys that the structure at a path has."""
     here: Any = File
     for step in steps:
-        here = get_type_hints(here).get(step, here)
+        here = get_type_hints(here).get(step.partition("[")[0], here)
+        while not hasattr(here, "__struct_fields__"):  # optional, or several of them
+            here = next(part for part in get_args(here) if part not in (types.NoneType, ...))
     return list(here.__struct_fields__)
 
 
@@ -96,7 +141,7 @@
     for name in old.__struct_fields__:
         before, after = getattr(old, name), getattr(new, name)
         where = f"{path}.{name}" if path else name
-        if isinstance(before, msgspec.Struct):
+        if isinstance(before, msgspec.Struct) and isinstance(after, msgspec.Struct):
             found += differences(before, after, where)
         elif before != after:
             found.append(f"{where} {before} -> {after}")
--- a/petrelhall/operator/settings.py
+++ b/petrelhall/operator/settings.py
@@ -70,7 +70,91 @@
     stale: Stale = Stale()
 
 
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]*$")]
+Share = Annotated[float, Meta(gt=0.0, le=1.0)]
+
+
+class Pool(Struct, frozen=True, forbid_unknown_fields=True):
+    """A pool: the boxes for which all that is stated here holds, by what discovery says of them."""
+
+    name: Name
+    kind: str | None = None
+    zone: str | None = None
+    cell: int | None = None
+    id: Annotated[str, Meta(description="regular expression that the whole id matches")] | None = None
+
+
+class Step(Struct, frozen=True, forbid_unknown_fields=True):
+    """One step of a move."""
+
+    share: Share  # of the traffic that may move, on the target
+    least_s: Annotated[float, Meta(ge=0.0, le=86400.0)] = 20.0
+    least_evidence: Annotated[int, Meta(ge=0, le=10000000, description="matched answers in this step")] = 100
+
+
+class Worse(Struct, frozen=True, forbid_unknown_fields=True):
+    """What counts as worse."""
+
+    tolerated: Annotated[float, Meta(ge=1.0, le=10.0, description=(
+        "ratio of latencies up to which nothing is halted"))] = 1.05
+    accepted: Annotated[float, Meta(ge=1.0, le=10.0, description=(
+        "ratio of latencies that the target must be shown to stay under before a step forward"))] = 1.15
+    margin: Annotated[float, Meta(ge=0.0, le=0.5, description="share of errors that is not worse")] = 0.01
+    alpha: Annotated[float, Meta(gt=0.0, le=0.2, description=(
+        "chance that a move between equal pools is ever halted"))] = 0.01
+    source_drift: Annotated[float, Meta(ge=1.0, le=100.0, description=(
+        "the source itself this much slower than at the move's begin: hold, blame nobody"))] = 1.6
+
+
+class LeaveOut(Struct, frozen=True, forbid_unknown_fields=True):
+    """Who stays with the source all along."""
+
+    classes: tuple[str, ...] = ()
+    plans: tuple[str, ...] = ()
+    districts: tuple[str, ...] = ()
+
+
+class Window(Struct, frozen=True, forbid_unknown_fields=True):
+    """A time, in Unix seconds, in which no move begins."""
+
+    start_s: float
+    end_s: float
+
+
+class Move(Struct, frozen=True, forbid_unknown_fields=True):
+    """A move of traffic from one pool to another. Another name is another move, which begins anew."""
+
+    name: Name
+    source: Name
+    target: Name
+    steps: Annotated[tuple[Step, ...], Meta(min_length=1, max_length=32)] = (
+        Step(0.1), Step(0.25), Step(0.5), Step(1.0))
+    by: Annotated[Literal["request", "district"], Meta(description="what the hash is taken of")] = "request"
+    order: Annotated[Literal["run", "pause", "undo", "finish"], Meta(description=(
+        "the operators' word: run it, hold where it is, bring all back, or take the target for good"))] = "run"
+    spill: Annotated[Literal["source", "refuse"], Meta(description=(
+        "what becomes of the target's requests when it has no room: the source serves them, or they are refused"
+    ))] = "source"
+    worse: Worse = Worse()
+    leave_out: LeaveOut = LeaveOut()
+    closed: tuple[Window, ...] = ()
+    record: Annotated[str, Meta(description=(
+        "file to which every judged answer is appended as a line of JSON, for `petrelhall shift replay`; a disk "
+        "that stalls holds up serving, so not where that matters; empty for none"))] = ""
+    undo_per_s: Annotated[float, Meta(gt=0.0, le=10.0, description=(
+        "share of the traffic brought back a second when the move is undone"))] = 0.2
+
+
+class Shift(Struct, frozen=True, forbid_unknown_fields=True):
+    """Pools of boxes, and a move between two of them."""
+
+    pools: Annotated[tuple[Pool, ...], Meta(min_length=1, max_length=64)]
+    default: Annotated[str, Meta(description="pool of boxes that no pool wants; empty: such a box is an error")] = ""
+    move: Move | None = None
+
+
 class File(Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     links: Links = Links()
+    shift: Shift | None = None
--- /dev/null
+++ b/petrelhall/shift/__init__.py
@@ -0,0 +1,1 @@
+"""Moving traffic between two pools of boxes by measurement. Pure: no clock, no socket."""
--- a/petrelhall/standins/box.py
+++ b/petrelhall/standins/box.py
@@ -63,6 +63,7 @@
     def __init__(self, name: str, judge: Judge, seed: int, model: Model | None = None) -> None:
         self.name, self.judge, self.model = name, judge, model or Model()
         self.random = random.Random(f"{seed}/{name}")
+        self.kind = "m1"
         self.faults, self.seen = Faults(), Seen()
         self.listener: socket.socket | None = None
         self.address: tuple[str, int] = ("127.0.0.1", 0)
--- a/petrelhall/standins/judge.py
+++ b/petrelhall/standins/judge.py
@@ -22,7 +22,7 @@
         self.seen: Counter[str] = Counter()
         self.stale: set[str] = set()  # requests of which an attempt was written to a dead connection
         self.answers: Counter[str] = Counter()  # final answers by request
-        self.cold_sends: dict[str, list[float]] = defaultdict(list)
+        self.sent_at: dict[str, list[float]] = defaultdict(list)  # monotonic times of attempts, by box
 
     def rule(self, name: str, example: str) -> None:
         """Note a broken rule."""
@@ -32,6 +32,7 @@
     def attempt(self, request: str, box: str, drained_at: float | None, now: float) -> None:
         """An attempt has reached a box whole."""
         self.seen["attempts"] += 1
+        self.sent_at[box].append(now)
         self.attempts[request] += 1
         self.out[request] = self.out.get(request, 0) + 1
         if self.out[request] > 1:
--- a/petrelhall/standins/world.py
+++ b/petrelhall/standins/world.py
@@ -45,6 +45,7 @@
     operator: str = ""  # path of the operators' file
     program: str = ""  # folder of the checkout whose gateway runs; this one where empty
     sockets: int = 1024
+    kinds: tuple[str, ...] = ("m1",)  # what discovery says of the boxes, in turn
 
 
 def settings(gateways: int, position: int, deadline_ms: float) -> dict[str, Any]:
@@ -86,6 +87,8 @@
             self.environment["PYTHONPATH"] = self.folder
         self.cpu_s, self.memory_mb = 0.0, 0.0
         self.process: subprocess.Popen[bytes] | None = None
+        self.read = 0  # bytes of its log
+        self.turns: list[tuple[float, dict[str, Any]]] = []  # what it said of a move between pools, and when
 
     def start(self) -> None:
         """Start it."""
@@ -119,6 +122,20 @@
             self.process.wait()
             return -9
 
+    def read_log(self) -> list[str]:
+        """Give the lines that it has written since the last look."""
+        with open(self.log_path, errors="replace") as file:
+            file.seek(self.read)
+            text = file.read()
+        whole = text[:text.rfind("\n") + 1]
+        self.read += len(whole.encode())
+        lines = whole.splitlines()
+        for line in lines:
+            place = line.find(": shift {")
+            if place >= 0 and '"log_wealth"' not in line:
+                self.turns.append((time.monotonic(), json.loads(line[place + 8:])))
+        return lines
+
     def counts(self) -> dict[str, int]:
         """Give the counters that it printed at its end."""
         found: dict[str, int] = {}
@@ -149,6 +166,7 @@
     def add_box(self, cold: bool, address: tuple[str, int] | None = None) -> Box:
         """Start a box of a new name."""
         box = Box(f"s-{self.made:03d}", self.judge, self.setup.seed, self.setup.model)
+        box.kind = self.setup.kinds[self.made % len(self.setup.kinds)]
         self.made += 1
         if address is not None:
             box.address = address
@@ -160,7 +178,7 @@
         def put() -> None:
             if state == "Terminating":
                 box.drain()
-            self.discovery.put(box.name, box.address, state, box.started_unix_ms)
+            self.discovery.put(box.name, box.address, state, box.started_unix_ms, kind=box.kind)
         if self.began:
             asyncio.get_running_loop().call_later(LATE_S, put)
         else:
@@ -288,7 +306,10 @@
     async def watch(self) -> None:
         """Look on, once a second."""
         while True:
-            await asyncio.sleep(1.0)
+            for _ in range(10):
+                await asyncio.sleep(0.1)
+                for gateway in self.gateways:
+                    gateway.read_log()
             if not self.stale_early and not self.attempts_early and time.monotonic() - self.began >= LEARN_S:
                 self.stale_early = self.judge.seen["stale_attempts"]
                 self.attempts_early = self.judge.seen["attempts"]
