Pay for planned connections: headers checked once, metering read once, a shorter way to a connection

Change: outgoing requests hand h11 headers that it has checked already; the few values of X-Metering are kept; the usual way to a connection makes no generator of its own; the fleet's prior hears once a second.

--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -336,9 +336,10 @@
 
     def pick(self, job: Job) -> Link | None:
         """Pick a server, in the first of the request's pools that has one with room."""
-        pools = job.event.pools
-        ways = ([link for link in self.ready if link.server.pool == pool] for pool in pools)
-        return next(filter(None, (self.least(job, way) for way in (ways if pools else [self.ready]))), None)
+        if not job.event.pools:
+            return self.least(job, self.ready)
+        ways = ([link for link in self.ready if link.server.pool == pool] for pool in job.event.pools)
+        return next(filter(None, (self.least(job, way) for way in ways)), None)
 
     def least(self, job: Job, ready: list[Link]) -> Link | None:
         """Pick the least expected wait among servers with room, by work out and measured slowness."""
--- a/petrelhall/gateway/platform.py
+++ b/petrelhall/gateway/platform.py
@@ -22,6 +22,7 @@
     b"host", b"x-request-id", b"x-class", b"x-contract", b"x-deadline", b"x-metering", b"x-retry",
     b"idempotency-key", b"content-type",
 ))
+MOST_METERED = 512  # values kept
 PASSED_ON = (b"host", b"x-request-id", b"idempotency-key", b"content-type")
 EARLY_MS = 15.0  # a deadline counts from the client's send: the way here, the way back and our own turn
 # Names of load figures on the sockets, and in the settings.
@@ -50,6 +51,7 @@
         self.classes = {name.encode(): index for index, name in enumerate(classes)}
         self.plans = {name.encode(): index for index, name in enumerate(plans)}
         self.figures = frozenset(settings.report_names)
+        self.metered: dict[bytes, tuple[float, int]] = {}
 
     # Clients
 
@@ -86,7 +88,17 @@
             return Broken(400, str(error))
 
     def metering(self, value: bytes) -> tuple[float, int]:
-        """Read the units and the size of the customer's set."""
+        """Read the units and the size of the customer's set; the same few values come again and again."""
+        read = self.metered.get(value)
+        if read is None:
+            read = self.read_metering(value)
+            if len(self.metered) >= MOST_METERED:
+                self.metered.clear()
+            self.metered[value] = read
+        return read
+
+    def read_metering(self, value: bytes) -> tuple[float, int]:
+        """Read them anew."""
         fields = dict(part.strip().partition(b"=")[::2] for part in value.split(b","))
         told = value.count(b"=") == len(fields)  # each once
         if not told or any(not form.fullmatch(fields.get(name, b"")) for name, form in METERING.items()):
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from typing import Any
 
 import h11
 
@@ -12,6 +13,7 @@
 MOST_BODY = 65536
 MOST_INTERIM = 8  # answers of 1xx in front of the final one
 Headers = list[tuple[bytes, bytes]]
+OwnHeaders: Any = type(h11.Response(status_code=200, headers=[]).headers)
 END = h11.EndOfMessage()  # made once, since h11 checks its headers, of which there are none, at each making
 
 
@@ -156,8 +158,10 @@
         self.body = bytearray()
 
     def ask(self, method: bytes, target: bytes, headers: Headers, body: bytes = b"") -> None:
-        """Write a request."""
-        data = self.http.send(h11.Request(method=method, target=target, headers=headers)) or b""
+        """Write a request. Its headers' names are tokens, its values were read by h11 or are our own numbers."""
+        # In h11's own form they are not checked again, which costs more than writing them does.
+        checked = OwnHeaders([(name, name.lower(), value) for name, value in headers])
+        data = self.http.send(h11.Request(method=method, target=target, headers=checked)) or b""
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
         data += self.http.send(END) or b""
--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -16,7 +16,7 @@
 from enum import Enum
 from typing import Any
 
-from petrelhall.links.limits import NEVER, Survival
+from petrelhall.links.limits import FLOOR_MS, NEVER, Survival
 from petrelhall.operator.settings import Links
 
 IDLE_SHARE = 0.8  # of the platform's word on idle connections that is used
@@ -93,7 +93,8 @@
     __slots__ = ("id", "address", "listed", "started", "since", "life", "idle", "busy", "opening", "bound", "grown",
                  "tokens", "tokens_at", "answered", "refusals", "refused", "dead_at", "peak", "last_peak", "missed",
                  "wasted", "ahead_from", "warm_at", "looked", "kept_ms", "sure_ms", "hint_ms", "deaths", "hold_ms",
-                 "doubt", "trying", "most", "opens", "stale", "ends", "ends_at")
+                 "doubt", "trying", "most", "opens", "stale", "ends", "ends_at",
+                 "survived")
 
     def __init__(self, name: str, address: object, bound: float, life: Survival) -> None:
         self.id, self.address, self.listed, self.life = name, address, True, life
@@ -111,6 +112,7 @@
         self.hold_ms = NEVER  # shortest idle time among those
         self.doubt, self.trying = 0.0, False  # idle since before this: in doubt; one of them is being tried
         self.most = self.opens = self.stale = 0
+        self.survived = 0.0  # longest idle time that was survived since the last look
         self.ends, self.ends_at = 0, -NEVER  # connections that ended by themselves within SETTLE_MS, and since when
 
     @property
@@ -285,6 +287,9 @@
     def look(self, now: float, box: Box) -> None:
         """Draw the line anew between connections that are worth using and those that are not."""
         box.looked = now
+        if box.survived and self.fleet is not None:  # the longest since the last look: the prior needs no more
+            self.fleet.served(now, box.survived)
+            box.survived = 0.0
         tolerance = self.settings.stale.tolerance
         told = min(self.idle_ms, IDLE_SHARE * box.hint_ms)
         box.kept_ms = min(told, box.life.limit(now, tolerance))
@@ -420,8 +425,8 @@
         link.uses += 1
         if link.idle_ms >= 0.0:
             box.life.served(now, link.idle_ms)
-            if self.fleet is not None:
-                self.fleet.served(now, link.idle_ms)
+            if link.idle_ms > box.survived:
+                box.survived = link.idle_ms
         else:
             box.life.fresh_use(now, False)
         if link.ahead and box.wasted:
@@ -454,7 +459,7 @@
     def died(self, now: float, box: Box, idle_ms: float, seen: bool) -> None:
         """Keep a death until it can be told whether the whole box ended; meanwhile none as old is used."""
         box.deaths.append((now, idle_ms, seen))
-        box.hold_ms = min(box.hold_ms, idle_ms)
+        box.hold_ms = min(box.hold_ms, max(FLOOR_MS, idle_ms))
 
     def box_ended(self, now: float, box: Box, left: int) -> bool:
         """Tell whether a box itself has ended, now that another connection did and so many are left.
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -10,7 +10,7 @@
 from petrelhall.decide.interface import Ending
 from petrelhall.http.h1 import Broken, ClientSide, Reply
 from petrelhall.links.attempt import Reach, Result, Wording
-from petrelhall.links.plan import End, Link, No, Plan, State
+from petrelhall.links.plan import End, Link, No, Plan, State, Wait
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, Timer, describe, now_ms
 from petrelhall.net.stream import Address, connect
@@ -75,7 +75,12 @@
         """
         if now_ms() >= until:
             return Result(Ending.TIMEOUT, Reach.UNWRITTEN, "no time left")
-        connection = yield from self.obtain(server, until, stopped, free)
+        connection: Connection | Result | None = None
+        link = self.plan.take(now_ms(), server, free)
+        if isinstance(link, Link) and not self.plan.closing:
+            connection = self.usable(link)  # as nearly always
+        if connection is None:
+            connection = yield from self.obtain(server, until, stopped, free, link)
         if isinstance(connection, Result):
             return connection
         stream, link = connection.http.stream, connection.link
@@ -110,35 +115,45 @@
                 timer.cancel()
             self.release(connection, keep, cause)
 
-    def obtain(self, server: str, until: float, stopped: Callable[[], bool],
-               free: bool) -> Steps[Connection | Result]:
-        """Get a connection, one that comes up included, within the time that waiting for one is worth."""
+    def usable(self, link: Link) -> Connection | Result | None:
+        """Give the connection of a link that was taken, begun if it is new; None where it proves closed."""
+        connection: Connection | None = link.carrier
+        if connection is None:
+            return self.begin(link, self.loop.this_task().wake)
+        # The box may have closed it since epoll was last asked: what is written to a connection
+        # closed by the other side would end as a reset, which may have run.
+        if connection.http.stream.alive():
+            return connection
+        self.plan.found_closed(now_ms(), link)
+        connection.http.stream.close()
+        return None
+
+    def obtain(self, server: str, until: float, stopped: Callable[[], bool], free: bool,
+               link: Link | Wait | No) -> Steps[Connection | Result]:
+        """Get a connection, one that comes up included, within the time that waiting for one is worth.
+
+        ``link`` is what the plan has just said.
+        """
         latest = 0.0
         while True:
             now = now_ms()
-            link = self.plan.take(now, server, free)
             if self.plan.closing:
                 self.carry_out()
             if isinstance(link, Link):
-                if link.carrier is None:
-                    return self.begin(link, self.loop.this_task().wake)
-                # The box may have closed it since epoll was last asked: what is written to a connection
-                # closed by the other side would end as a reset, which may have run.
-                connection: Connection = link.carrier
-                if connection.http.stream.alive():
+                connection = None if link.state is State.CLOSED else self.usable(link)
+                if connection is not None:
                     return connection
-                self.plan.found_closed(now, link)
-                connection.http.stream.close()
-                continue
-            if isinstance(link, No):
+            elif isinstance(link, No):
                 return Result(Ending.MOOT, Reach.UNWRITTEN, link.value)
-            latest = latest or now + min(self.plan.settings.wait_ms, (until - now) / 4.0)
-            if now >= latest:
-                self.counts.add("links", "none_in_time")
-                return Result(Ending.MOOT, Reach.UNWRITTEN, f"no connection: {link.cause}")  # no box's fault
-            if stopped():
-                return Result(Ending.CANCELLED, Reach.UNWRITTEN, "called off")
-            yield from self.wait(server, min(latest, now + link.ms))
+            else:
+                latest = latest or now + min(self.plan.settings.wait_ms, (until - now) / 4.0)
+                if now >= latest:
+                    self.counts.add("links", "none_in_time")
+                    return Result(Ending.MOOT, Reach.UNWRITTEN, f"no connection: {link.cause}")  # no box's fault
+                if stopped():
+                    return Result(Ending.CANCELLED, Reach.UNWRITTEN, "called off")
+                yield from self.wait(server, min(latest, now + link.ms))
+            link = self.plan.take(now_ms(), server, free)
 
     def wait(self, server: str, until: float) -> Steps[None]:
         """Wait until a connection of a box may have come free."""
