--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -16,10 +16,17 @@
 from petrelhall.boxes.fleet import Fleet
 from petrelhall.cli.main import main
 from petrelhall.decide import interface as api
+from petrelhall.decide.interface import Ending
 from petrelhall.decide.policy import Gateway
 from petrelhall.decide.settings import read_settings
+from petrelhall.gateway.requests import Request
+from petrelhall.gateway.shifting import Shifter
+from petrelhall.links.attempt import Reach, Result
+from petrelhall.links.plan import Plan
+from petrelhall.net.counts import Counts
+from petrelhall.net.loop import Loop, now_ms
 from petrelhall.operator.file import OperatorError, parse
-from petrelhall.operator.settings import LeaveOut, Move, Pool, Shift, Step, Window
+from petrelhall.operator.settings import LeaveOut, Links, Move, Pool, Shift, Step, Window
 from petrelhall.shift.judge import Answer, Bettors, Judge, Judgement, rank, share_of_wealth
 from petrelhall.shift.move import Mover, State
 from petrelhall.shift.plan import PoolError, Pools, place, side
@@ -107,6 +114,14 @@
             judge.source(T0 + 10.0 * number, Answer("k", 10.0 * draw.uniform(0.5, 1.5)))
             judge.target(T0 + 10.0 * number, Answer("k", 1.0, draw.random() < 0.3))
         self.assertIs(judge.judgement()[0], Judgement.WORSE)
+        self.assertTrue(judge.judgement()[1].startswith("more errors"), judge.judgement())
+
+    def test_no_answer_of_the_source_is_used_twice(self) -> None:
+        judge = Judge()
+        judge.source(T0, Answer("k", 10.0))
+        for number in range(3):
+            judge.target(T0 + number, Answer("k", 10.0))
+        self.assertEqual((judge.matched, judge.unmatched), (1, 2))
 
     def test_a_time_out_is_at_least_so_slow_and_no_more(self) -> None:
         late = Answer("k", 500.0, censored=True)
@@ -150,8 +165,10 @@
         self.assertIs(judge.judgement()[0], Judgement.NOT_YET)
         judge.peer("n2", 4.0, 0.0)
         self.assertIs(judge.judgement()[0], Judgement.WORSE)
-        judge.peer("n2", math.nan, 0.0)  # junk is passed over
-        self.assertIs(judge.judgement()[0], Judgement.WORSE)
+        judge = Judge()
+        for junk in (math.nan, math.inf):
+            judge.peer("n2", junk, junk)  # is passed over
+        self.assertIs(judge.judgement()[0], Judgement.NOT_YET)
 
 
 class Moving(unittest.TestCase):
@@ -352,6 +369,84 @@
         self.assertEqual((fleet.healthy, fleet.version), ({"s0"}, 3))
 
 
+class Wiring(unittest.TestCase):
+    """What is evidence, and what gateways say of a move to each other."""
+
+    def setUp(self) -> None:
+        self.told: list[Any] = []
+        self.notes: list[str] = []
+        self.sent: list[bytes] = []
+        self.loop, self.counts, self.fleet = Loop(self.notes.append), Counts(), Fleet(("a",))
+        self.fleet.take({"version": 1, "full": True, "servers": [
+            entry("old-1", "127.0.0.1:1"), entry("new-1", "127.0.0.1:2"), entry("odd", "127.0.0.1:3")]})
+        self.plan = Plan(Links(), 10, 30000.0, 10000.0)
+        self.shifter = self.shifter_of_a_gateway()
+
+    def shifter_of_a_gateway(self) -> Shifter:
+        shifter = Shifter(self.loop, self.fleet, self.plan, self.told.append, self.counts, self.notes.append,
+                          ("view", "change"), ("plan",))
+        shifter.to_peers = self.sent.append
+        shifter.configure(Shift((Pool("old", id="old-.*"), Pool("new", id="new-.*")), move=MOVE))
+        return shifter
+
+    def end(self, server: str, pools: tuple[str, ...], ending: Ending = Ending.OK, kind: int = 0) -> None:
+        request = Request(kind, 0, "d", 100.0, 1.0, 1, False, None, b"r")
+        self.shifter.ended(request, pools, server, Result(ending, Reach.ANSWERED), 10.0)
+
+    @property
+    def evidence(self) -> int:
+        mover = self.shifter.mover
+        assert mover is not None
+        return mover.sources + mover.judge.matched + mover.judge.unmatched
+
+    def test_boxes_are_labelled_and_one_in_no_pool_is_not_used_and_told_of_once(self) -> None:
+        labels = {server.address: (server.pool, server.phase) for server in self.told[0].servers}
+        self.assertEqual(labels, {"old-1": ("old", "healthy"), "new-1": ("new", "healthy"), "odd": ("", "cordoned")})
+        self.shifter.look()
+        self.assertEqual(sum("odd belongs to no pool" in note for note in self.notes), 1)
+
+    def test_what_spilt_was_never_sent_or_met_a_warming_box_is_no_evidence(self) -> None:
+        self.end("old-1", ("old",))
+        self.assertEqual(self.evidence, 1)
+        self.end("old-1", ("new", "old"))
+        self.assertEqual((self.evidence, self.counts.get("shift", "spilt")), (1, 1))
+        self.end("old-1", ("old",), Ending.MOOT)
+        self.end("old-1", ("old",), Ending.CANCELLED)
+        self.assertEqual(self.evidence, 1)
+        now = now_ms()
+        self.plan.listed(now - 1.0, "new-1", ("127.0.0.1", 2), now - 1.0)
+        self.end("new-1", ("new", "old"))
+        self.assertEqual((self.evidence, self.counts.get("shift", "cold_left_out")), (1, 1))
+
+    def test_a_halt_reaches_the_other_gateway_and_another_move_s_does_not(self) -> None:
+        other = self.shifter_of_a_gateway()
+        assert self.shifter.mover is not None and other.mover is not None
+        self.shifter.mover.turn(State.HALTED, "worse")
+        self.shifter.spoken = 0.0
+        self.sent.clear()
+        self.shifter.look()
+        word = self.sent[-1]
+        self.assertLess(len(word), 257)
+        for junk in (word[:-1], word + b"x", word[:1] + b"abcd" + word[5:], word[:5] + b"\xff" + word[6:]):
+            other.heard(1, junk)
+        self.assertEqual(other.mover.peers, {})
+        other.heard(1, word)
+        other.look()
+        self.assertIs(other.mover.state, State.HALTED)
+
+    def test_a_move_of_another_name_begins_anew_and_the_same_goes_on(self) -> None:
+        first = self.shifter.mover
+        assert first is not None and self.shifter.settings is not None
+        pools = self.shifter.settings.pools
+        self.shifter.configure(Shift(pools, move=Move("m", "old", "new", (Step(0.3),))))
+        self.assertIs(self.shifter.mover, first)
+        self.shifter.configure(Shift(pools, move=Move("m2", "old", "new", (Step(0.3),))))
+        self.assertIsNot(self.shifter.mover, first)
+        self.shifter.configure(None)
+        self.assertIsNone(self.shifter.mover)
+        self.assertEqual({server.pool for server in self.told[-1].servers}, {""})
+
+
 BAD = {
     '{"pools": []}': "shift.pools: [] cannot be used",
     '{"pools": [{"name": "a"}]}': "shift.pools[0]: states no condition",
