Labels of boxes kept; one listening service for the stand-ins

Need: a move looked up every box's pool four times a second, and discovery and the counter held the same lines.

Change: pools are looked up when a list comes; Service holds what both stand-ins share.

--- a/petrelhall/gateway/shifting.py
+++ b/petrelhall/gateway/shifting.py
@@ -42,6 +42,7 @@
         self.mover: Mover | None = None
         self.timer: Timer | None = None
         self.complained: set[str] = set()
+        self.labels: dict[str, str | None] = {}  # of each box, as it was last listed
         self.to_peers: Callable[[bytes], None] | None = None
         self.spoken = 0.0
         self.record: list[str] | None = None  # judged answers, until they are written
@@ -56,6 +57,7 @@
         self.named = Pools(settings) if settings is not None else None
         self.fleet.label = self.label if self.named is not None else (lambda entry: "")
         self.complained.clear()
+        self.labels.clear()
         move = settings.move if settings is not None else None
         if move is None:
             self.mover = None
@@ -72,10 +74,12 @@
     def label(self, entry: dict[str, object]) -> str | None:
         """Name a box's pool; one that is in none or in two is not used, and told of once."""
         assert self.named is not None
+        name = str(entry.get("id"))
         try:
-            return self.named.of(entry)
+            pool = self.labels[name] = self.named.of(entry)
+            return pool
         except PoolError as error:
-            name = str(entry.get("id"))
+            self.labels[name] = None
             if name not in self.complained:
                 self.counts.add("shift", "boxes_in_no_pool")
                 self.complained.add(name)
@@ -96,10 +100,9 @@
         """Take in how a first attempt ended. What spilt, or met a cold box, compares with nothing."""
         mover = self.mover
         box = self.plan.boxes.get(server)
-        entry = self.fleet.entries.get(server)
-        if mover is None or not pools or entry is None or result.ending not in TOLD:
+        if mover is None or not pools or server not in self.labels or result.ending not in TOLD:
             return
-        move, pool = mover.move, self.label(entry)
+        move, pool = mover.move, self.labels[server]
         self.counts.add("shift", f"attempts_{pool}")
         if pool != pools[0]:
             self.counts.add("shift", "spilt")
@@ -132,7 +135,9 @@
         self.timer = self.loop.after(LOOK_MS, self.look)
         self.write_record(mover)
         now = now_ms()
-        pools = {self.label(entry) for name, entry in self.fleet.entries.items() if name in self.fleet.healthy}
+        if len(self.labels) > 2 * len(self.fleet.entries) + 100:  # boxes that have gone for good
+            self.labels = {name: pool for name, pool in self.labels.items() if name in self.fleet.entries}
+        pools = {self.labels.get(name) for name in self.fleet.healthy}
         ready = mover.move.source in pools and mover.move.target in pools
         turns = mover.look(now, now / 1000.0, ready)
         for turn in turns:
--- a/petrelhall/standins/counter.py
+++ b/petrelhall/standins/counter.py
@@ -6,27 +6,20 @@
 import re
 import time
 
-from petrelhall.standins.wire import free_listener
+from petrelhall.standins.wire import Service
 
 CALL = re.compile(rb"add ([^ ]{1,64}) (-?\d+(?:\.\d+)?) (\d+)")
 LONGEST_MS = 60000
 
 
-class Counter:
+class Counter(Service):
     """Holds the numbers. Must be started inside a running event loop."""
 
     def __init__(self, most_per_s: float = 1300.0) -> None:
+        super().__init__()
         self.numbers: dict[bytes, tuple[float, float]] = {}  # total, and when the name is forgotten
         self.calls = self.errors = 0
         self.pace_s, self.next_turn = 1.0 / most_per_s, 0.0
-        self.address: tuple[str, int] = ("127.0.0.1", 0)
-        self.server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen."""
-        sock = free_listener(self.address)
-        self.address = sock.getsockname()
-        self.server = await asyncio.start_server(self.converse, sock=sock)
 
     async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection, answers in the order of the calls."""
--- a/petrelhall/standins/discovery.py
+++ b/petrelhall/standins/discovery.py
@@ -8,27 +8,20 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from petrelhall.standins.wire import Malformed, Reader, answer, free_listener, text
+from petrelhall.standins.wire import Malformed, Reader, Service, answer, text
 
 Entry = dict[str, Any]
 
 
-class Discovery:
+class Discovery(Service):
     """Holds the list and tells those that watch it. Must be started inside a running event loop."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.version = 1
         self.entries: dict[str, Entry] = {}
         self.changes: list[tuple[int, Entry]] = []
         self.changed = asyncio.Event()
-        self.address: tuple[str, int] = ("127.0.0.1", 0)
-        self.server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen."""
-        sock = free_listener(self.address)
-        self.address = sock.getsockname()
-        self.server = await asyncio.start_server(self.converse, sock=sock)
 
     def put(self, name: str, address: tuple[str, int], state: str = "Ready", started_ms: int = 0,
             zone: str = "room-a", kind: str = "m1", cell: int = 0) -> None:
--- a/petrelhall/standins/wire.py
+++ b/petrelhall/standins/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
 from dataclasses import dataclass
@@ -91,6 +92,24 @@
     return sock
 
 
+class Service:
+    """A part that listens on one address and converses on each connection, inside a running event loop."""
+
+    def __init__(self) -> None:
+        self.address: tuple[str, int] = ("127.0.0.1", 0)
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen, at the address it was given or on a free port."""
+        sock = free_listener(self.address)
+        self.address = sock.getsockname()
+        self.server = await asyncio.start_server(self.converse, sock=sock)
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        raise NotImplementedError
+
+
 def text(address: tuple[str, int]) -> str:
     """Give host:port."""
     return f"{address[0]}:{address[1]}"
