Hold a district's answers against the same district's only

Need: a district with 60% of the traffic and heavy requests had 10 of 10 good targets halted: its answers were held against those of all districts.

Change: the bets on single districts match within the district. Tests for it, for a target bad for one district, for keyed requests that may have run on the target, and for an undo into a pool that went cold.

--- a/petrelhall/shift/judge.py
+++ b/petrelhall/shift/judge.py
@@ -110,15 +110,6 @@
             bettors.begin()
 
 
-class Source:
-    """What the source pool answered of late to requests of one kind."""
-
-    __slots__ = ("answers",)
-
-    def __init__(self) -> None:
-        self.answers: deque[tuple[float, float, bool, bool]] = deque(maxlen=MOST_SOURCE)  # when, ms, error, censored
-
-
 class Judge:
     """Compares two pools through one move.
 
@@ -134,7 +125,8 @@
         self.all = Lane()
         self.by_class: dict[Hashable, Lane] = {}
         self.by_district: dict[str, Lane] = {}
-        self.sources: dict[Hashable, Source] = {}
+        # What the source answered of late, by kind: when, ms, error, censored.
+        self.sources: dict[Hashable, deque[tuple[float, float, bool, bool]]] = {}
         self.epoch_at = -ENDLESS
         self.matched = self.unmatched = 0
         self.told: dict[Hashable, tuple[float, float]] = {}  # by peer: log of its wealth on "slower", on "errs"
@@ -144,10 +136,13 @@
 
     def source(self, now: float, answer: Answer) -> None:
         """Take in an answer of the source pool."""
-        kept = self.sources.get(answer.kind)
-        if kept is None:
-            kept = self.sources[answer.kind] = Source()
-        kept.answers.append((now, answer.latency_ms, answer.error, answer.censored))
+        entry = now, answer.latency_ms, answer.error, answer.censored
+        for kind in (answer.kind, self.within(answer)):
+            if kind is not None:
+                kept = self.sources.get(kind)
+                if kept is None:
+                    kept = self.sources[kind] = deque(maxlen=MOST_SOURCE)
+                kept.append(entry)
 
     def target(self, now: float, answer: Answer) -> None:
         """Take in an answer of the target pool; it counts if there is one of the source to match it with."""
@@ -157,28 +152,48 @@
                 for lane in (self.all, *self.by_class.values(), *self.by_district.values()):
                     lane.begin()
             self.epoch_at = now
-        kept = self.sources.get(answer.kind)
-        while kept is not None and kept.answers and now - kept.answers[0][0] > STALE_MS:
-            kept.answers.popleft()
-        if kept is None or not kept.answers:
+        match = self.match(now, answer, answer.kind)
+        if match is None:
             self.unmatched += 1
-            return
+        else:
+            self.matched += 1
+            self.all.see(*match)
+            kind = answer.kind[0] if isinstance(answer.kind, tuple) else answer.kind
+            if kind in self.by_class or len(self.by_class) < self.classes:
+                self.by_class.setdefault(kind, Lane()).see(*match)
+        within = self.within(answer)
+        match = self.match(now, answer, within) if within is not None else None
+        if match is not None:
+            self.by_district[answer.district].see(*match)
+
+    def within(self, answer: Answer) -> Hashable | None:
+        """Give the kind of an answer within its district, whose requests may weigh more than others'; None: not judged.
+
+        To hold one district's answers against those of all would blame a pool for a heavy district.
+        """
+        if not answer.district:
+            return None
+        if answer.district not in self.by_district:
+            if len(self.by_district) >= DISTRICTS:
+                return None
+            self.by_district[answer.district] = Lane()
+        return answer.district, answer.kind
+
+    def match(self, now: float, answer: Answer, kind: Hashable) -> tuple[float, float, float, float, float] | None:
+        """Match an answer with the source's of its kind, which are used up: ranks, errors, margin."""
+        kept = self.sources.get(kind)
+        while kept and now - kept[0][0] > STALE_MS:
+            kept.popleft()
+        if not kept:
+            return None
         total = strict = errors = 0.0
-        for _, latency, error, censored in kept.answers:
+        for _, latency, error, censored in kept:
             total += rank(answer, self.tolerated * latency, error, censored)
             strict += rank(answer, self.accepted * latency, error, censored)
             errors += error or censored
-        count = len(kept.answers)
-        kept.answers.clear()
-        self.matched += 1
-        values = total / count, strict / count, float(answer.error or answer.censored), errors / count, self.margin
-        self.all.see(*values)
-        kind = answer.kind[0] if isinstance(answer.kind, tuple) else answer.kind
-        if kind in self.by_class or len(self.by_class) < self.classes:
-            self.by_class.setdefault(kind, Lane()).see(*values)
-        district = answer.district
-        if district and (district in self.by_district or len(self.by_district) < DISTRICTS):
-            self.by_district.setdefault(district, Lane()).see(*values)
+        count = len(kept)
+        kept.clear()
+        return total / count, strict / count, float(answer.error or answer.censored), errors / count, self.margin
 
     def peer(self, name: Hashable, slower: float, errs: float) -> None:
         """Take in what another gateway's bettors have: its requests are others, so wealths multiply."""
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -200,6 +200,30 @@
         self.assertIs(state, State.HALTED)
         self.assertIn("class hard", play.mover.reason)
 
+    def test_a_target_bad_for_one_district_alone_is_halted(self) -> None:
+        judge, draw = Judge(), random.Random(1)
+        for number in range(12000):
+            district = "big" if draw.random() < 0.1 else "other"
+            target = draw.random() < 0.5
+            took = math.exp(0.4 * draw.gauss(0, 1)) * (2.5 if target and district == "big" else 0.95 if target else 1)
+            answer = Answer("k", took, district=district)
+            (judge.target if target else judge.source)(T0 + 5.0 * number, answer)
+            if judge.judgement()[0] is Judgement.WORSE:
+                break
+        self.assertIn("district big", judge.judgement()[1])
+
+    def test_a_district_that_is_most_of_the_traffic_does_not_halt_a_good_target(self) -> None:
+        halted = 0
+        for seed in range(10):
+            judge, draw = Judge(), random.Random(seed)
+            for number in range(3000):
+                big = draw.random() < 0.6
+                took = math.exp(0.4 * draw.gauss(0, 1)) * (3.0 if big else 1.0)
+                answer = Answer("k", took, district="big" if big else str(draw.randrange(30)))
+                (judge.target if draw.random() < 0.3 else judge.source)(T0 + 5.0 * number, answer)
+            halted += judge.judgement()[0] is Judgement.WORSE
+        self.assertEqual(halted, 0)
+
     def test_both_pools_slower_for_one_cause_hold_the_move_and_blame_nobody(self) -> None:
         play = Play(2)
         play.until(14.0, equal)
@@ -359,6 +383,37 @@
         self.assertEqual([sent(1, "new"), sent(2, "old"), sent(3, "gone", "new"), sent(4, "gone")],
                          [["n"], ["o"], ["n"], ["Refuse"]])
 
+    def module(self, group: str, since_ms: float = 0.0) -> Gateway:
+        keyed = PROFILE["Grades"][1] | {"Group": group}
+        profile = PROFILE | {"Grades": [PROFILE["Grades"][0], keyed],
+                             "Rules": {"ColdFrom": 0.25, "ColdMs": 10000.0}}
+        module = Gateway(read_settings(profile), 1)
+        module.handle(T0, api.Started())
+        module.handle(T0, api.ServerList("full", (
+            api.Server("o", cell=1, pool="old", since_ms=since_ms), api.Server("n", cell=2, pool="new"))))
+        return module
+
+    def test_a_keyed_request_that_may_have_run_on_the_target_goes_on_as_its_group_allows(self) -> None:
+        for group, wanted in (("all", ["Send"]), ("cell", ["Fail"])):
+            with self.subTest(group=group):
+                module = self.module(group)
+                arrival = api.Arrival(1, 1, 0, "c", 5000.0, pools=("new", "old"))
+                sent = [action for action in module.handle(T0 + 1.0, arrival) if isinstance(action, api.Send)]
+                self.assertEqual([action.server for action in sent], ["n"])
+                broken = api.Outcome(1, 0, "n", Ending.RESET, 50.0)
+                then = [type(action).__name__ for action in module.handle(T0 + 51.0, broken)]
+                self.assertEqual([name for name in then if name in ("Send", "Fail", "Refuse")], wanted)
+
+    def test_an_undo_into_a_pool_that_went_cold_is_paced_and_the_rest_refused_at_once(self) -> None:
+        module = self.module("all", T0 - 1.0)
+        names = []
+        for number in range(50):
+            arrival = api.Arrival(number, 0, 0, "c", 5000.0, pools=("old",))
+            names += [type(action).__name__ for action in module.handle(T0 + 10.0 + number, arrival)
+                      if isinstance(action, api.Send | api.Refuse)]
+        self.assertEqual(len(names), 50)
+        self.assertLess(names.count("Send"), 5)
+
     def test_a_list_that_is_labelled_anew_keeps_its_boxes(self) -> None:
         fleet = Fleet(("a",))
         fleet.take({"version": 3, "full": True, "servers": [entry("s0", "127.0.0.1:1"), entry("s1", "127.0.0.1:2")]})
