Take out state and a copy that nothing reads

Need: a reread of the whole change found a list and a count never read, a copy of a list that is one already, and a flag set to what it is.

Change: they are gone; no behaviour changes.

--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -261,14 +261,13 @@
             age = now - oldest.idle_since
             if (age > REFRESH * kept and age < sure and box.open <= max(box.peak, box.last_peak)
                     and now < oldest.until and oldest.idle_since >= box.doubt):
-                oldest.tried = False
                 return oldest
             candidates: Iterable[Link] = reversed(box.idle)
         elif order == "oldest":
             candidates = sorted(box.idle, key=lambda link: link.opened)
         else:
             candidates = sorted(box.idle, key=lambda link: link.uses)
-        for link in list(candidates) if order != "last_used" else candidates:
+        for link in candidates:
             if now >= link.until:
                 self.retire(link, "age")
                 return self.pick(now, box, free)
--- a/petrelhall/shift/move.py
+++ b/petrelhall/shift/move.py
@@ -58,7 +58,7 @@
     """One gateway's part in one move."""
 
     def __init__(self, move: Move, classes: int = 1) -> None:
-        self.move, self.classes = move, classes
+        self.move = move
         self.state, self.step, self.share = State.IDLE, 0, 0.0
         self.judge = Judge(move.worse.tolerated, move.worse.margin, move.worse.alpha, classes, move.worse.accepted)
         self.clock = 0.0  # ms since the first look, forward only
--- a/petrelhall/standins/world.py
+++ b/petrelhall/standins/world.py
@@ -158,7 +158,6 @@
         self.crowd: Crowd | None = None
         self.began = 0.0
         self.stale_early = self.attempts_early = 0
-        self.cold_first: list[int] = []
         self.made = 0
 
     # Putting together
