--- a/petrelhall/decide/interface.py
+++ b/petrelhall/decide/interface.py
@@ -154,6 +154,7 @@
     set_size: int = 1
     repeat: bool = False
     pools: tuple[str, ...] = ()  # among whose servers it may go, in order; empty: all
+    set_first: int = 0  # number of the first gateway that the customer uses; ``set_size`` in a row, counted round
 
 
 @dataclass(frozen=True)
@@ -278,9 +279,10 @@
 
 @dataclass(frozen=True)
 class Tell:
-    """Send bytes to every other gateway."""
+    """Send bytes to other gateways, by their numbers; none named: to every one."""
 
     content: bytes
+    to: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -12,7 +12,7 @@
 from petrelhall.decide import interface as api
 from petrelhall.decide.correlation import significant
 from petrelhall.decide.interface import Effect, Ending
-from petrelhall.decide.state import Customer, Job, Link, Memory, faded
+from petrelhall.decide.state import Customer, Job, Link, Memory, faded, left_of
 
 # Correlation and cut
 INTERVAL_MS, STALL_MS = 1000.0, 200.0  # ms; the paper's interval; its end so late, we have stood still
@@ -25,6 +25,8 @@
 RATE_MS, NEWS_MS = 3000.0, 3000.0  # ms; decay of rates, to follow shifts of traffic; life of news
 METER_LAG_MS, PEER_LAG_MS = 1500.0, 150.0  # ms that news of the others' use is old: period and way
 TICK_MS, MAIL_SHARE, TOLD_STEP = 50.0, 0.6, 1.3  # ms between messages; share of what a peer takes in; news
+MANY_MS, MANY_SHARE, SET_SHARE = 100.0, 0.3, 0.6  # ms: a word to all is late; its share then; the sets'
+NEAR = 0.4  # of a burst: a store with less is told of at once where a word to all would be late
 KEEP_MS, COUNT_MS, MOST_SHARES = 15000.0, 20000.0, 10000  # idle customers; a name; shares: bound memory
 ASK_MIN, ASK_CUT, ASK_STEP, ASK_HASTE = 0.1, 0.7, 0.04, 0.2  # share of tries that call; growth/s; where clear
 SHARE_GAIN, KNOWN, PUT_RIGHT = 0.2, 0.9, 0.25  # weight of a verdict; share borne; of a burst worth a call
@@ -42,7 +44,7 @@
 LIMIT_START, LIMIT_MIN, LIMIT_MAX = 12.0, 1.0, 64.0  # attempts out at a server: of all, from here
 CALM_WAIT, FULL_WAIT, QUIET_WAIT = 0.20, 0.30, 0.45  # latency over aim: limit grows, falls; silence counts
 SAMPLE, TRUST_MIN = 16, 0.1  # servers compared for a request; least chance given to one that failed
-WAITS, SHED_WAIT = 9, 0.2  # answers whose median, over the aim, sheds demand from here on
+WAITS, SHED_WAIT = 9, 0.4  # answers whose median, over the aim, sheds demand from here on
 PACE_MIN, PACE_SLACK = 0.5, 2.0  # tries/s let in at least; at most, over the usual
 PACE_CUT, PACE_STEP, PACE_HASTE = 0.3, 0.02, 0.5  # cut an interval; growth, more where all is quick
 PACE_OUT, PASSED_GAIN = 0.2, 0.3  # latency over aim that what is out stands for; an interval's weight
@@ -64,9 +66,13 @@
         self.settings, self.random, peers = settings, random.Random(seed), settings.peers
         self.first_limit = max(LIMIT_MIN, LIMIT_START / settings.gateways)
         gap = 1000.0 * settings.gateways / max(1.0, MAIL_SHARE * settings.peer_messages_per_s)
-        self.tell_gap, self.peers = max(TICK_MS, gap), peers and (gap < NEWS_MS / 3 or not settings.counter)
+        self.peers = peers and (gap < NEWS_MS / 3 or not settings.counter)
         mail = max(1.0, OPEN_SHARE * settings.peer_messages_per_s)
         self.open_gap = 1000.0 * max(1, settings.gateways - 1) / mail
+        # Many gateways may each speak to all but seldom: what cannot wait goes to the customer's set.
+        self.many = self.peers and self.open_gap > MANY_MS
+        self.tell_gap = max(TICK_MS, gap * MAIL_SHARE / MANY_SHARE if self.many else gap)
+        self.open_life = max(OPEN_MS, 2.0 * self.tell_gap * self.many)
         self.counter = settings.counter and not self.peers
         self.metered = settings.meter_ms > 0 and not self.counter and not self.peers
         self.latency = {kind: FIRST_GUESS * kind.aim_ms for kind in settings.classes}  # ms a unit
@@ -107,7 +113,8 @@
             return not crowded
         if verdict is not None:
             return verdict
-        if self.counter or self.now - max(customer.news_at, self.peers_at) > NEWS_MS:
+        heard = max(customer.news_at, self.peers_at, self.started * self.many)
+        if self.counter or self.now - heard > NEWS_MS:
             return within
         lag_s = (METER_LAG_MS if self.metered else PEER_LAG_MS) / 1000.0
         borrow = customer.shared >= units + customer.others * lag_s
@@ -123,7 +130,7 @@
         unheard = self.now - max(self.started, self.peers_at) > NEWS_MS or self.now - self.started < RATE_MS
         if left <= 0 or not self.peers or unheard:
             return max(1, int(customer.plan.max_open * customer.even)) <= customer.open or left <= 0
-        left -= int(sum(out for out, at in customer.elsewhere.values() if at > self.now - OPEN_MS))
+        left -= int(sum(out for out, at in customer.elsewhere.values() if at > self.now - self.open_life))
         begun = customer.others * OPEN_LAG_MS / 1000.0  # theirs since: it scatters as Poisson's does
         fewer = math.exp(-begun) * sum(begun**n / math.factorial(n) for n in range(left))
         return 1.0 - fewer > OPEN_RISK
@@ -142,6 +149,8 @@
         self.opened[customer.code] = self.outs[customer.code] = customer.open
         if not customer.open:
             del self.outs[customer.code]
+        if self.many:
+            return self.tell_set(customer)
         wait = self.told_at + self.open_gap - self.now
         if wait <= 0.0:
             self.tell_peers()
@@ -149,6 +158,18 @@
             self.tell_due = True
             self.actions.append(api.SetTimer(wait, 3))
 
+    def tell_set(self, customer: Customer) -> None:
+        """Tell a customer's gateways what was sent on for it and is out, as far as they take it in.
+
+        Every gateway gets on average as many such messages as it sends, so each keeps to its own part.
+        """
+        others = customer.others_of_set(self.settings.position, self.settings.gateways)
+        if not self.set_words(len(others), SET_SHARE * self.settings.peer_messages_per_s):
+            return  # it goes with the next word to all
+        code, told = customer.code, self.told.pop(customer.code, 0.0)
+        opens = [(code, self.opened.pop(code))] if code in self.opened else []
+        self.actions.append(api.Tell(gossip.encode([(code, told)], opens), others))
+
     def tell_peers(self) -> None:
         """Send what peers were not told yet, as far as a message holds it."""
         content, self.told, self.opened = gossip.pack(self.told, self.opened)
@@ -250,16 +271,11 @@
             elif not self.peers:
                 self.remember(code, told, MOST_SHARES)
             else:
-                self.strangers[code] = self.stranger_use(code) + told, self.now
+                self.strangers.setdefault(code, []).append((self.now, told))
         for code, out in opens:
             if code in self.codes:
                 self.codes[code].elsewhere[event.sender] = out, self.now
 
-    def stranger_use(self, code: int) -> float:
-        """Give what peers told lately of a customer that is not known here, as it fades."""
-        units, at = self.strangers.get(code, (0.0, self.now))
-        return units * math.exp((at - self.now) / RATE_MS)
-
     # Correlation and cut
 
     def close_interval(self) -> None:
@@ -295,7 +311,7 @@
         self.lateness = self.served = self.bad = self.ends = self.warm_sends = 0.0
         self.asked = {}
         self.forget(self.now - KEEP_MS)
-        self.strangers = {c: told for c, told in self.strangers.items() if told[1] > self.now - NEWS_MS}
+        self.strangers = {c: told for c, told in self.strangers.items() if told[-1][0] > self.now - KEEP_MS}
 
     def set_pace(self, wait: float) -> None:
         """Bound what is let in by a rate of our own for all servers: tries may multiply, servers do not.
@@ -308,7 +324,8 @@
             self.pace = min(self.pace, 1.0 + self.passed) * (1.0 - cut)
         elif not self.slow:
             self.pace *= 1.0 + PACE_STEP - PACE_HASTE * min(0.0, wait)
-        self.pace = max(PACE_MIN, min(PACE_SLACK * (1.0 + self.passed), self.pace))
+        most = max(self.first_pace, PACE_SLACK * (1.0 + self.passed))
+        self.pace = max(PACE_MIN, min(most, self.pace))
         self.passes, self.waits = 0.0, self.waits[len(self.waits) // 3 :]  # old news fades
 
     # Servers and health
@@ -331,8 +348,9 @@
             if server.phase == "deregistered":
                 del self.links[server.address]
         self.ready = [link for link in self.links.values() if link.server.phase == "healthy"]
+        self.first_pace = max(PACE_MIN, LIMIT_START * len(self.ready) / self.settings.gateways)
         if not self.passed:  # nothing known: as many a second as may be out at first
-            self.pace = max(PACE_MIN, LIMIT_START * len(self.ready) / self.settings.gateways)
+            self.pace = self.first_pace
 
     def pick(self, job: Job) -> Link | None:
         """Pick a server, in the first of the request's pools that has one with room."""
@@ -498,14 +516,15 @@
         customer, plan = self.customers.get(event.customer), self.settings.plans[event.plan]
         if customer is None:
             code = zlib.crc32(event.customer.encode())
-            customer = Customer(plan, event.set_size, code, self.now, self.now - NEWS_MS)
+            customer = Customer(plan, event.set_size, code, self.now, self.now - NEWS_MS, event.set_first)
             told = self.shares.get(code, 100.0) / 100.0
             customer.share = told if self.counter or self.metered else customer.even
             if self.peers:  # the store less what was told of it, where peers were heard for a while
                 heard = self.now - self.started > NEWS_MS and self.now - self.peers_at < NEWS_MS
-                left = plan.burst - self.stranger_use(code) if heard else 0.0
+                used = self.strangers.pop(code, [])
+                # Of many, a slice is under one request: it would give nobody any until news comes.
+                left = left_of(plan, used, self.now) if heard or self.many else 0.0
                 customer.shared = max(plan.burst * customer.even, left)
-                self.strangers.pop(code, None)
             idle = min(KEEP_MS, self.now - self.started)  # its part has filled since our own start
             customer.cap = customer.even * plan.ceiling_rate * idle / 1000.0
             self.customers[event.customer] = self.codes[code] = customer
@@ -547,6 +566,9 @@
         self.retries = min(RETRY_CAP, self.retries + RETRY_SHARE)
         self.send(job, link)
         self.tell_open(customer)
+        near = customer.shared < max(units, NEAR * customer.plan.burst)
+        if self.many and near and customer.plan.max_open <= 0:
+            self.tell_set(customer)
 
     def on_outcome(self, event: api.Outcome) -> None:
         """Book the attempt, learn from it, and answer or try again where the answer is still owed."""
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -18,6 +18,7 @@
     code: int  # stands for it in messages and at the counter
     seen: float
     news_at: float  # when the others' use was last heard of
+    set_first: int = 0  # the first of the gateways that it uses
     even: float = 1.0  # the even slice: one over the number of gateways that it uses
     filled: float = 0.0  # when its stores were last brought up to date
     bucket: float = 0.0  # the even slice at the start
@@ -61,6 +62,11 @@
         self.demand, self.sent = self.demand * factor, self.sent * factor
         self.others *= factor if others else 1.0
 
+    def others_of_set(self, own: int, gateways: int) -> tuple[int, ...]:
+        """Give the numbers of the other gateways that it uses: some in a row, counted round."""
+        numbers = ((self.set_first + step) % gateways for step in range(min(self.set_size, gateways)))
+        return tuple(number for number in numbers if number != own)
+
     def ask(self, now: float, units: float, rate: float) -> None:
         """Book what it asks for."""
         self.seen, self.units, self.demand = now, self.units + units, self.demand + rate
@@ -206,7 +212,10 @@
     outs: dict[int, int] = field(default_factory=dict)  # attempts out of capped customers that have any
     told_at: float = -math.inf  # when peers were last told anything
     tell_due: bool = False  # whether a timer stands for telling them of attempts out
-    strangers: dict[int, tuple[float, float]] = field(default_factory=dict)  # peers' recent use, by code
+    # What peers sent on for customers that are not known here, by code: when and how many units
+    strangers: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
+    set_room: float = 0.0  # messages to single peers that may go, and when that was brought up to date
+    set_at: float = 0.0
     peers_at: float = -math.inf  # when a peer was last heard
     links: dict[str, Link] = field(default_factory=dict)
     jobs: dict[int, Job] = field(default_factory=dict)
@@ -229,12 +238,19 @@
     ready: list[Link] = field(default_factory=list)  # those listed as healthy
     slow: bool = False  # whether the fleet as a whole is
     pace: float = math.inf  # tries/s that they bear from here
+    first_pace: float = math.inf  # and at first, when nothing is known
     room_store: float = 2.0  # tries that may be let in, and when that was brought up to date
     paced_at: float = 0.0
     out: float = 0.0  # attempts out at all servers
     passes: float = 0.0  # tries let in, this interval and usually
     passed: float = 0.0
 
+    def set_words(self, count: int, per_s: float) -> bool:
+        """Take room for some messages to single peers, of so many a second; a second's worth is saved at most."""
+        room = min(per_s, self.set_room + per_s * (self.now - self.set_at) / 1000.0)
+        self.set_at, self.set_room = self.now, room - count * (count <= room)
+        return count <= room
+
     def called(self, name: int, call: Call) -> None:
         """Keep a call to the counter until its answer: answers for a name come in the order of the calls."""
         self.calls.setdefault(name, deque()).append(call)
@@ -268,3 +284,12 @@
 def faded(value: float, rest: float, half_lives: float) -> float:
     """Give what is left of a value on its way back to rest."""
     return float(rest + (value - rest) * 0.5**half_lives)
+
+
+def left_of(plan: Plan, used: list[tuple[float, float]], now: float) -> float:
+    """Give what is left of a store that was full before it was used at these times (ms) by so many units."""
+    store, at = plan.burst, now
+    for when, units in used:
+        store = max(0.0, min(plan.burst, store + plan.rate * max(0.0, when - at) / 1000.0) - units)
+        at = when
+    return min(plan.burst, store + plan.rate * max(0.0, now - at) / 1000.0)
--- a/petrelhall/gateway/dispatch.py
+++ b/petrelhall/gateway/dispatch.py
@@ -31,7 +31,7 @@
         self.waiting: deque[api.Event] = deque()
         self.busy = False
         self.to_request: Callable[[Order], None] = lambda order: None
-        self.to_peers: Callable[[bytes], None] = lambda content: None
+        self.to_peers: Callable[[bytes, tuple[int, ...]], None] = lambda content, to: None
         self.to_counter: Callable[[int, float, float], None] | None = None
 
     def tell(self, event: api.Event) -> None:
@@ -67,7 +67,7 @@
         elif isinstance(action, FOR_REQUESTS):
             self.to_request(action)
         elif isinstance(action, api.Tell):
-            self.to_peers(action.content)
+            self.to_peers(action.content, action.to)
         elif isinstance(action, api.CounterAdd):
             if self.to_counter is None:
                 self.waiting.append(api.CounterReply(action.name, api.Ending.CONNECT_FAILED))
--- a/petrelhall/gateway/peers.py
+++ b/petrelhall/gateway/peers.py
@@ -21,23 +21,24 @@
     def __init__(self, loop: Loop, own: Address, peers: tuple[Address, ...], everyone: Address, position: int,
                  tell: Callable[[api.PeerMessage], None], counts: Counts) -> None:
         self.numbers = {peer: number for number, peer in enumerate(peers) if number != position}
-        self.everyone, self.tell, self.counts = everyone, tell, counts
+        self.peers, self.everyone, self.tell, self.counts = peers, everyone, tell, counts
         self.on_shift: Callable[[int, bytes], None] = lambda number, content: None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | NEW_SOCKET)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(own)
         loop.register(self.sock.fileno(), select.EPOLLIN, self.on_ready)
 
-    def send(self, content: bytes) -> None:
-        """Tell all others; a datagram that cannot go now is lost, as any may be."""
+    def send(self, content: bytes, to: tuple[int, ...] = ()) -> None:
+        """Tell those of these numbers, or all others; a datagram that cannot go now is lost, as any may be."""
         if len(content) > MOST:  # one byte more would break a rule of the platform
             self.counts.add("peers", "too_long")
             return
-        try:
-            self.sock.sendto(content, self.everyone)
-            self.counts.add("peers", "sent")
-        except OSError:
-            self.counts.add("peers", "unsent")
+        for address in [self.peers[number] for number in to] if to else [self.everyone]:
+            try:
+                self.sock.sendto(content, address)
+                self.counts.add("peers", "sent")
+            except OSError:
+                self.counts.add("peers", "unsent")
 
     def on_ready(self, mask: int) -> None:
         """Pass on what a known peer says and drop the rest; epoll tells again if more has come."""
--- a/petrelhall/gateway/platform.py
+++ b/petrelhall/gateway/platform.py
@@ -51,7 +51,7 @@
         self.classes = {name.encode(): index for index, name in enumerate(classes)}
         self.plans = {name.encode(): index for index, name in enumerate(plans)}
         self.figures = frozenset(settings.report_names)
-        self.metered: dict[bytes, tuple[float, int]] = {}
+        self.metered: dict[bytes, tuple[float, int, int]] = {}
 
     # Clients
 
@@ -77,18 +77,18 @@
             keyed = effect is api.Effect.KEYED
             if keyed and not headers.get(b"idempotency-key"):
                 raise Refusal("Idempotency-Key missing")
-            units, spread = self.metering(headers.get(b"x-metering", b""))
+            units, spread, first = self.metering(headers.get(b"x-metering", b""))
             left = min(deadline(headers.get(b"x-deadline", b"")), self.settings.classes[index].deadline_ms)
             return Request(
                 index, plan, customer(query), left, units, spread,
                 headers.get(b"x-retry") == b"1", Spoken(message, passed_on(message)),
-                headers[b"x-request-id"], safe,
+                headers[b"x-request-id"], safe, first,
             )
         except Refusal as error:
             return Broken(400, str(error))
 
-    def metering(self, value: bytes) -> tuple[float, int]:
-        """Read the units and the size of the customer's set; the same few values come again and again."""
+    def metering(self, value: bytes) -> tuple[float, int, int]:
+        """Read the units and the customer's set, size and first; the same few values come again and again."""
         read = self.metered.get(value)
         if read is None:
             read = self.read_metering(value)
@@ -97,7 +97,7 @@
             self.metered[value] = read
         return read
 
-    def read_metering(self, value: bytes) -> tuple[float, int]:
+    def read_metering(self, value: bytes) -> tuple[float, int, int]:
         """Read them anew."""
         fields = dict(part.strip().partition(b"=")[::2] for part in value.split(b","))
         told = value.count(b"=") == len(fields)  # each once
@@ -107,7 +107,7 @@
         gateways, largest = self.settings.gateways, self.settings.largest_units
         if not (0.0 < units <= largest and 0 < spread <= gateways and 0 <= first < gateways):
             raise Refusal("X-Metering out of range")
-        return units, spread
+        return units, spread, first
 
     def answer(self, answer: Answer | Broken) -> tuple[int, Headers, bytes]:
         """Word an answer to a client."""
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -34,6 +34,7 @@
     message: Any
     name: bytes = b""  # the client's own, none other in hand has it
     free: bool = True  # to run it twice costs nothing
+    set_first: int = 0  # number of the first gateway of the customer's set
 
 
 class Caller(Protocol):
@@ -151,7 +152,7 @@
         pools = self.sides.pools(request) if self.sides is not None else ()
         self.tell(api.Arrival(
             ticket.id, request.request_class, request.plan, request.customer, request.left_ms, request.units,
-            request.set_size, request.repeat, pools,
+            request.set_size, request.repeat, pools, request.set_first,
         ))
         try:
             while True:
--- a/petrelhall/wirehost.py
+++ b/petrelhall/wirehost.py
@@ -40,6 +40,7 @@
         return api.Arrival(
             int(values[0]), int(values[1]), int(values[2] or 0), str(values[3]), float(values[4]),
             float(values[5] or 0), int(values[6] or 1), bool(values[8]),
+            set_first=int(values[7] or 0),
         )
     if name == "Settled":
         return api.Outcome(
@@ -97,8 +98,6 @@
             return ["SetAlarm", who, after_ms, token]
         case api.Probe(server):
             return ["Probe", who, server]
-        case api.Tell(content):
-            return ["Tell", who, "*", content.hex()]
         case api.CounterAdd(name, amount, expire_ms):
             return ["Add", who, name, amount, expire_ms]
         case api.Subscribe():
@@ -159,7 +158,11 @@
             place = traceback.extract_tb(error.__traceback__)[-1]
             outbox.append(["Panic", who, f"{error!r} in {place.name}, line {place.lineno}, on {name}"])
             return
-        outbox.extend(write_action(who, action) for action in actions)
+        for action in actions:
+            if isinstance(action, api.Tell):
+                outbox.extend(["Tell", who, number, action.content.hex()] for number in action.to or "*")
+            else:
+                outbox.append(write_action(who, action))
 
 
 def main(source: TextIO = sys.stdin, sink: TextIO = sys.stdout) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -554,7 +554,7 @@
 
         module, told = Asking(), list[bytes]()
         dispatcher = Dispatcher(self.loop, module, self.counts, self.notes.append)
-        dispatcher.to_peers = told.append
+        dispatcher.to_peers = lambda content, to: told.append(content)
         dispatcher.tell(api.Started())
         self.assertEqual(module.seen, ["Started", "CounterReply"])
         self.assertEqual(told, [b"x", b"y"])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -331,7 +331,7 @@
 
 
 def test_a_customer_new_here_has_its_store_less_what_peers_told_of_it() -> None:
-    settings = replace(SETTINGS, plans=(Plan(rate=1, burst=8),), gateways=4, peers=True)
+    settings = replace(SETTINGS, plans=(Plan(rate=1, burst=8),), gateways=4, peers=True, peer_messages_per_s=100)
     for used, expected in ((0.0, 8.0), (5.0, 3.0), (50.0, 2.0)):  # an even slice at least
         door = Door(settings)
         door.now += policy.NEWS_MS + 1
@@ -344,6 +344,76 @@
     assert door.gateway.customers["a"].shared == pytest.approx(1.0)
 
 
+MANY = replace(SETTINGS, gateways=40, peers=True, peer_messages_per_s=100)
+SIXTY = tuple(Server(f"s{n}") for n in range(60))
+
+
+def test_of_many_gateways_a_customers_set_alone_is_told_at_once_of_what_is_near_its_quota() -> None:
+    plans = Plan(rate=1, burst=4), Plan(rate=100, burst=100, max_open=4)
+    door = Door(replace(MANY, position=2, plans=plans), SIXTY)
+
+    def told(actions: list[Action]) -> list[tuple[tuple[int, ...], object]]:
+        return [(a.to, gossip.decode(a.content)) for a in actions if isinstance(a, Tell)]
+
+    code = zlib.crc32(b"a")
+    first, second = (door.feed(Arrival(n, 0, 0, "a", 3000, 1, 5, set_first=39)) for n in (1, 2))
+    assert sends(first) and sends(second) and not told(first) and not told(second)  # the next word to all will do
+    assert told(door.feed(Arrival(3, 0, 0, "a", 3000, 1, 5, set_first=39))) == [((39, 0, 1, 3), ([(code, 3.0)], []))]
+    assert code not in door.gateway.told
+    capped = door.feed(Arrival(4, 0, 1, "b", 3000, 1, 3, set_first=1))
+    other = zlib.crc32(b"b")
+    assert told(capped) == [((1, 3), ([(other, 1.0)], [(other, 1)]))]
+    ended = door.answer(sends(capped)[0], Ending.OK)
+    assert told(ended) == [((1, 3), ([(other, 0.0)], [(other, 0)]))]
+
+
+def test_words_to_sets_keep_to_what_peers_take_in_and_the_rest_goes_to_all() -> None:
+    door = Door(replace(MANY, plans=(Plan(rate=100, burst=1000),)), SIXTY)
+    door.ask(spread=11)
+    gateway, code = door.gateway, zlib.crc32(b"a")
+    gateway.actions.clear()
+    for _ in range(9):
+        gateway.told[code] = 2.0
+        gateway.tell_set(gateway.customers["a"])
+    words = [a for a in gateway.actions if isinstance(a, Tell)]
+    assert sum(len(word.to) for word in words) <= 60 < sum(len(word.to) for word in words) + 11  # a second's share
+    door.now += 3000
+    rest = [a for a in door.feed(Alarm(1)) if isinstance(a, Tell)]
+    assert [(a.to, gossip.decode(a.content)) for a in rest] == [((), ([(code, 2.0)], []))]
+
+
+def test_of_many_gateways_each_lets_a_new_customer_in_for_what_nobody_told_as_used() -> None:
+    plans = (Plan(rate=0.4, burst=2),)
+    assert isinstance(Door(replace(MANY, plans=plans)).ask(spread=30), Send)  # a slice would be 0.07 of a request
+    for used, ago, goes in ((1.0, 0, True), (2.0, 0, False), (2.0, 3000, True), (2.0, 2000, False)):
+        door = Door(replace(MANY, plans=plans))
+        door.feed(PeerMessage(3, gossip.encode([(zlib.crc32(b"a"), used)])))
+        door.now += ago
+        assert isinstance(door.ask(spread=30), Send) == goes
+
+
+def test_what_peers_have_out_counts_until_they_could_have_told_of_it_again() -> None:
+    door = Door(replace(MANY, plans=(Plan(rate=100, burst=100, max_open=4),)))
+    customer = door.known("a")
+    door.now += 3500
+    for sender in (3, 4, 5):
+        door.feed(PeerMessage(sender, gossip.encode([], [(zlib.crc32(b"a"), 1)])))
+    for wait, full in ((0.0, True), (1.9 * door.gateway.tell_gap, True), (0.2 * door.gateway.tell_gap, False)):
+        door.now += wait
+        door.gateway.now = door.gateway.peers_at = door.now
+        assert door.gateway.crowded(customer) == full
+
+
+def test_a_gateway_that_has_seen_little_is_not_held_to_the_pace_of_what_it_let_in() -> None:
+    door = Door(MANY, SIXTY)
+    first = door.gateway.pace
+    assert first == pytest.approx(policy.LIMIT_START * 60 / 40)
+    for _ in range(3):
+        door.now += 1000
+        door.feed(Alarm(0))
+        assert door.gateway.pace == pytest.approx(first)
+
+
 def test_customers_that_came_once_are_soon_forgotten() -> None:
     door = Door()
     for n in range(50):
