--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -12,7 +12,7 @@
 from petrelhall.decide import interface as api
 from petrelhall.decide.correlation import significant
 from petrelhall.decide.interface import Effect, Ending
-from petrelhall.decide.state import Customer, Job, Link, Memory, faded, left_of
+from petrelhall.decide.state import Customer, Job, Link, Memory, faded, left_of, taken
 
 # Correlation and cut
 INTERVAL_MS, STALL_MS = 1000.0, 200.0  # ms; the paper's interval; its end so late, we have stood still
@@ -25,8 +25,7 @@
 RATE_MS, NEWS_MS = 3000.0, 3000.0  # ms; decay of rates, to follow shifts of traffic; life of news
 METER_LAG_MS, PEER_LAG_MS = 1500.0, 150.0  # ms that news of the others' use is old: period and way
 TICK_MS, MAIL_SHARE, TOLD_STEP = 50.0, 0.6, 1.3  # ms between messages; share of what a peer takes in; news
-MANY_MS, MANY_SHARE, SET_SHARE = 100.0, 0.3, 0.6  # ms: a word to all is late; its share then; the sets'
-NEAR = 0.4  # of a burst: a store with less is told of at once where a word to all would be late
+MANY_MS, MANY_SHARE, SET_SHARE = 100.0, 0.15, 0.75  # ms: a word to all is late; its share then; the sets'
 KEEP_MS, COUNT_MS, MOST_SHARES = 15000.0, 20000.0, 10000  # idle customers; a name; shares: bound memory
 ASK_MIN, ASK_CUT, ASK_STEP, ASK_HASTE = 0.1, 0.7, 0.04, 0.2  # share of tries that call; growth/s; where clear
 SHARE_GAIN, KNOWN, PUT_RIGHT = 0.2, 0.9, 0.25  # weight of a verdict; share borne; of a burst worth a call
@@ -135,10 +134,6 @@
         fewer = math.exp(-begun) * sum(begun**n / math.factorial(n) for n in range(left))
         return 1.0 - fewer > OPEN_RISK
 
-    def mean_latency(self) -> float:
-        """Give the ms that an attempt lasts in the mean."""
-        return statistics.fmean(self.latency.values())
-
     def tell_open(self, customer: Customer) -> None:
         """Tell peers how many attempts are out, at once where the last message is old enough.
 
@@ -179,7 +174,7 @@
     def others_used(self, customer: Customer, units: float) -> None:
         """Book what other gateways sent on; what a full store would have lost pays first."""
         self.refill(customer)
-        customer.shared = max(0.0, customer.shared - max(0.0, units - customer.spilled))
+        customer.shared = taken(customer.shared, max(0.0, units - customer.spilled), self.many)
         customer.spilled, customer.news_at = 0.0, self.now
         customer.others += units * 1000.0 / RATE_MS
 
@@ -195,7 +190,11 @@
     def ask_counter(self, job: Job) -> bool:
         """Hold a request while the counter tells what all asked for; crowded, it hears a share for all."""
         customer, late = job.customer, job.deadline - self.now < 2.0 * self.settings.counter_wait_ms
-        if not self.counter or late or customer.plan.rate <= 0 or self.ask_share < self.random.random():
+        asked = self.counter or (self.many and self.settings.counter and not customer.plan.max_open)
+        if asked and self.many:  # others can only have taken from it since; what is given back late is lost
+            job.verdict = False if customer.level_now(self.now) < job.units else None
+            asked = job.verdict is None and not self.barred(job)
+        if not asked or late or customer.plan.rate <= 0 or self.ask_share < self.random.random():
             return False
         name = customer.code << 8 | int(self.now / COUNT_MS) & 255
         job.told = job.units / self.ask_share
@@ -223,14 +222,15 @@
         if event.ending is Ending.OK:
             before = customer.total if customer.total_of == event.name else event.total
             customer.total, customer.total_of, customer.heard = event.total, event.name, True
-            self.others_used(customer, max(0.0, event.total - before - amount))
+            if self.counter:  # of many, peers tell: the counter hears of those near their quota only
+                self.others_used(customer, max(0.0, event.total - before - amount))
             put_right = self.judge_store(job, asked, amount, event.total)
-            if put_right and self.ask_share >= 1.0 and not job.ended:
+            if put_right and (self.many or self.ask_share >= 1.0) and not job.ended:
                 self.call_counter(event.name, put_right, job, event.total)
             else:
                 customer.unsaid += min(0.0, put_right)
             was, percent = self.shares.get(customer.code, 100.0), max(1.0, 100.0 * customer.share)
-            if self.settings.peers and max(was, percent) > TOLD_STEP * min(was, percent):
+            if self.counter and self.settings.peers and max(was, percent) > TOLD_STEP * min(was, percent):
                 self.told[customer.code] = percent
                 self.remember(customer.code, percent, MOST_SHARES)
             haste = ASK_HASTE if self.now - self.unheard_at > NEWS_MS else ASK_STEP
@@ -248,7 +248,7 @@
         over what the last lacked: an emptied counter brings one burst and no more.
         """
         customer, plan = job.customer, job.customer.plan
-        filled = customer.level + plan.rate * (asked - customer.level_at) / 1000.0
+        filled = customer.level_now(asked)
         level = plan.burst + plan.rate * (asked % COUNT_MS) / 1000.0 - total
         put_right = max(0.0, level + amount - plan.burst)
         if total <= amount and customer.level_at < asked - asked % COUNT_MS:
@@ -487,7 +487,7 @@
     def advice(self, job: Job) -> float:
         """Say when to come back: soon where only the cap on attempts out was in the way, else late."""
         if job.capped and not self.pressed:
-            return max(BACK_MS, self.mean_latency())
+            return max(BACK_MS, statistics.fmean(self.latency.values()))
         return math.inf
 
     def end(self, event: api.Event) -> None:
@@ -540,8 +540,8 @@
         if not self.ask_counter(job):
             self.admit(job)
 
-    def admit(self, job: Job) -> None:
-        """Ceiling, quota and cut in turn, then a server with room; else refuse at once."""
+    def barred(self, job: Job) -> bool:
+        """Tell whether ceiling, cut, time or pace refuse a request, whatever its quota holds."""
         customer, units = job.customer, job.units
         self.refill(customer)
         capped = customer.plan.ceiling_rate > 0 and customer.cap < units
@@ -552,6 +552,11 @@
             self.room_store, self.paced_at = min(2.0 + 0.5 * self.pace, self.room_store + fill), self.now
             most = 1.0 + self.pace * PACE_OUT * job.kind.aim_ms / 1000.0  # Little's law: before answers tell
             refused = refused or self.room_store < (1.0 if known else DOUBT) or self.out >= most
+        return refused
+
+    def admit(self, job: Job) -> None:
+        """What bars it, then its quota, then a server with room; else refuse at once."""
+        customer, units, refused = job.customer, job.units, self.barred(job)
         job.capped = not refused and customer.plan.max_open > 0 and self.crowded(customer)
         granted = not refused and self.within_quota(customer, units, job.verdict)
         link = self.pick(job) if granted else None
@@ -566,9 +571,6 @@
         self.retries = min(RETRY_CAP, self.retries + RETRY_SHARE)
         self.send(job, link)
         self.tell_open(customer)
-        near = customer.shared < max(units, NEAR * customer.plan.burst)
-        if self.many and near and customer.plan.max_open <= 0:
-            self.tell_set(customer)
 
     def on_outcome(self, event: api.Outcome) -> None:
         """Book the attempt, learn from it, and answer or try again where the answer is still owed."""
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -62,6 +62,10 @@
         self.demand, self.sent = self.demand * factor, self.sent * factor
         self.others *= factor if others else 1.0
 
+    def level_now(self, now: float) -> float:
+        """Give the most that its store on the counter can hold now."""
+        return self.level + self.plan.rate * (now - self.level_at) / 1000.0
+
     def others_of_set(self, own: int, gateways: int) -> tuple[int, ...]:
         """Give the numbers of the other gateways that it uses: some in a row, counted round."""
         numbers = ((self.set_first + step) % gateways for step in range(min(self.set_size, gateways)))
@@ -286,10 +290,18 @@
     return float(rest + (value - rest) * 0.5**half_lives)
 
 
+def taken(store: float, units: float, exact: bool = True) -> float:
+    """Give a store after requests of one unit or more: what goes beyond a quota takes nothing from it.
+
+    Not ``exact``, each takes what there is: news that is fresh finds little beyond, and caution gains more.
+    """
+    return store - max(0.0, min(units, math.floor(store) if exact else store))
+
+
 def left_of(plan: Plan, used: list[tuple[float, float]], now: float) -> float:
     """Give what is left of a store that was full before it was used at these times (ms) by so many units."""
     store, at = plan.burst, now
     for when, units in used:
-        store = max(0.0, min(plan.burst, store + plan.rate * max(0.0, when - at) / 1000.0) - units)
+        store = taken(min(plan.burst, store + plan.rate * max(0.0, when - at) / 1000.0), units)
         at = when
     return min(plan.burst, store + plan.rate * max(0.0, now - at) / 1000.0)
