--- a/petrelhall/decide/interface.py
+++ b/petrelhall/decide/interface.py
@@ -92,6 +92,7 @@
     overload_factor: float = 1.0
     fall_ms: float = 1000.0
     cross_zone_price: float = 0.0
+    handshake_price: float = 0.0
 
     def __post_init__(self) -> None:
         """Refuse settings that make no sense, naming the field."""
--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -36,7 +36,7 @@
 # Servers
 LATENCY_GAIN, FLEET_GAIN, FAULT_GAIN = 0.15, 0.03, 0.05  # weight of an answer: server, fleet, class
 FORGIVE_MS, REPORT_MS, TRUST_MS = 8000.0, 500.0, 20000.0  # ms in which slowness, a report, trust lose half
-JITTER, CROSSING = 0.15, 5.0  # chance in a server's cost, against herding; another zone's cost, in its price
+JITTER, CROSSING, OPENING = 0.15, 5.0, 10.0  # chance in a server's cost, against herding; priced, in prices
 EJECT_MS, EJECT_MAX_MS = 500.0, 4000.0  # ms, first and longest
 RESETS = 3  # in a row that look like a death: one is a connection's end, and the next connect tells more
 COLD_FLOOR = 0.5  # requests/s to a cold server from all gateways while no warm rate is known
@@ -64,12 +64,11 @@
         super().__init__(retries=RETRY_CAP / 2)
         self.settings, self.random, peers = settings, random.Random(seed), settings.peers
         self.first_limit = max(LIMIT_MIN, LIMIT_START / settings.gateways)
-        gap = 1000.0 * settings.gateways / max(1.0, MAIL_SHARE * settings.peer_messages_per_s)
+        mail = max(1.0, settings.peer_messages_per_s)
+        gap = 1000.0 * settings.gateways / (MAIL_SHARE * mail)
         self.peers = peers and (gap < NEWS_MS / 3 or not settings.counter)
-        mail = max(1.0, OPEN_SHARE * settings.peer_messages_per_s)
-        self.open_gap = 1000.0 * max(1, settings.gateways - 1) / mail
-        # Many gateways may each speak to all but seldom: what cannot wait goes to the customer's set.
-        self.many = self.peers and self.open_gap > MANY_MS
+        self.open_gap = 1000.0 * max(1, settings.gateways - 1) / (OPEN_SHARE * mail)
+        self.many = self.peers and self.open_gap > MANY_MS  # what cannot wait for a word to all goes to sets
         self.tell_gap = max(TICK_MS, gap * MAIL_SHARE / MANY_SHARE if self.many else gap)
         self.open_life = max(OPEN_MS, 2.0 * self.tell_gap * self.many)
         self.counter = settings.counter and not self.peers
@@ -154,10 +153,7 @@
             self.actions.append(api.SetTimer(wait, 3))
 
     def tell_set(self, customer: Customer) -> None:
-        """Tell a customer's gateways what was sent on for it and is out, as far as they take it in.
-
-        Every gateway gets on average as many such messages as it sends, so each keeps to its own part.
-        """
+        """Tell a customer's gateways of it: each hears as many words as it sends, and keeps to that."""
         others = customer.others_of_set(self.settings.position, self.settings.gateways)
         if not self.set_words(len(others), SET_SHARE * self.settings.peer_messages_per_s):
             return  # it goes with the next word to all
@@ -306,7 +302,7 @@
             customer.units = 0.0
             if code not in self.columns:
                 customer.leave_column()
-        warm = sum(link.cold_since is None and self.now >= link.ejected_until for link in self.links.values())
+        warm = sum(link.cold_since is None and self.now >= link.ejected_until for link in self.ready)
         self.warm_rate += 0.2 * (self.warm_sends / max(1, warm) - self.warm_rate) * (warm > 0)
         self.lateness = self.served = self.bad = self.ends = self.warm_sends = 0.0
         self.asked = {}
@@ -370,12 +366,14 @@
             if not ramp or quiet or used or shut or not self.allowed(job, link.server):
                 continue
             slowness = faded(link.slowness, 1.0, (self.now - link.measured) / FORGIVE_MS)
-            others = faded(link.others, 0.0, (self.now - link.reported) / REPORT_MS)
+            rest = self.crowd * (link.cold_since is None)  # old news of it tells less than all do
+            others = faded(link.others, rest, (self.now - link.reported) / REPORT_MS)
             cost = (link.out + others + 1.0) * slowness / max(0.01, link.server.weight)
             good, at = link.health.get(job.index, (1.0, -math.inf))  # the chance that it answers this class
             cost /= max(TRUST_MIN, faded(good, 1.0 - self.faults[job.index], (self.now - at) / TRUST_MS)) ** 2
             crossing = CROSSING * self.settings.cross_zone_price * (link.server.zone != self.settings.zone)
-            cost *= 1.0 + crossing + JITTER * self.random.random()
+            opening = OPENING * self.settings.handshake_price * (not link.sent)  # most likely not connected
+            cost *= 1.0 + crossing + opening + JITTER * self.random.random()
             if cost < least:
                 best, least = link, cost
         return best
@@ -433,6 +431,7 @@
             self.note_health(link, job, ending is Ending.OK)
         if "rif" in event.report:
             link.others, link.reported = max(0.0, event.report["rif"] - link.out), self.now
+            self.crowd += FLEET_GAIN * (link.others - self.crowd)
 
     # Attempts
 
--- a/petrelhall/decide/settings.py
+++ b/petrelhall/decide/settings.py
@@ -51,6 +51,7 @@
             overload_factor=rules.number("OverloadFactor", 1.0),
             fall_ms=rules.number("FallMs", 1000.0),
             cross_zone_price=charges.number("CrossZone", 0.0),
+            handshake_price=charges.number("Handshake", 0.0),
         )
     except SettingsError:
         raise
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -239,6 +239,7 @@
     pressed: bool = False
     interval_due: float = math.inf
     stalled: float = -math.inf  # when this gateway last found that it had stood still
+    crowd: float = 0.0  # requests of others that a server has as a rule
     ready: list[Link] = field(default_factory=list)  # those listed as healthy
     slow: bool = False  # whether the fleet as a whole is
     pace: float = math.inf  # tries/s that they bear from here
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -413,6 +413,49 @@
         assert door.gateway.pace == pytest.approx(first)
 
 
+def test_a_server_not_heard_of_lately_is_held_to_be_as_busy_as_others_and_a_cold_one_idle() -> None:
+    def first(cold: bool) -> set[str]:
+        since = 1e6 if cold else 0.0
+        door = Door(SETTINGS, (Server("heard"), Server("unheard", since_ms=since)))
+        gateway = door.gateway
+        gateway.crowd, gateway.warm_rate = 8.0, 1000.0
+        heard, unheard = gateway.links["heard"], gateway.links["unheard"]
+        heard.others, heard.reported, unheard.cold_store = 4.0, door.now, 1.0
+        heard.sent = unheard.sent = 1.0
+        picked = door.ask()
+        assert isinstance(picked, Send)
+        return {picked.server}
+
+    assert first(cold=False) == {"heard"} and first(cold=True) == {"unheard"}
+
+
+def test_reports_of_all_servers_tell_how_busy_one_is_as_a_rule() -> None:
+    door = Door()
+    send = door.ask()
+    assert isinstance(send, Send)
+    door.feed(Outcome(send.request, 0, send.server, Ending.OK, 50, True, report={"rif": 11.0}))
+    assert door.gateway.crowd == pytest.approx(policy.FLEET_GAIN * 11.0)
+
+
+def test_servers_that_drain_do_not_lower_the_pace_of_cold_ones() -> None:
+    servers = Server("a"), Server("b", phase="cordoned"), Server("c", phase="cordoned")
+    door = Door(servers=servers)
+    door.gateway.warm_sends = 5.0
+    door.feed(Alarm(0))
+    assert door.gateway.warm_rate == pytest.approx(0.2 * 5.0)
+
+
+def test_a_connection_that_is_not_there_weighs_as_it_is_priced() -> None:
+    for price, other in ((0.0, True), (0.08, False)):
+        door = Door(replace(SETTINGS, handshake_price=price), SIXTY)
+        for link in door.gateway.links.values():
+            link.sent = float(link.server.address == "s0")
+        door.gateway.links["s0"].others, door.gateway.links["s0"].reported = 0.5, door.now
+        door.gateway.ready = [door.gateway.links["s0"], door.gateway.links["s1"]]
+        picked = door.ask()
+        assert isinstance(picked, Send) and (picked.server == "s1") == other
+
+
 def asked_of(actions: list[Action]) -> list[float]:
     return [a.amount for a in actions if isinstance(a, CounterAdd)]
 
