--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -456,6 +456,17 @@
         assert isinstance(picked, Send) and (picked.server == "s1") == other
 
 
+def test_a_cap_on_attempts_out_is_held_full_where_one_in_seven_times_it_is() -> None:
+    door = Door(replace(MANY, plans=(Plan(rate=100, burst=100, max_open=4),)), SIXTY)
+    customer = door.known("a")
+    door.gateway.now = door.now = door.now + 3500
+    door.gateway.peers_at = door.now
+    customer.open = 3
+    for others, full in ((2.0, False), (5.0, True)):  # begun since the news: 6% and 14% of the time
+        customer.others = others
+        assert door.gateway.crowded(customer) == full
+
+
 def asked_of(actions: list[Action]) -> list[float]:
     return [a.amount for a in actions if isinstance(a, CounterAdd)]
 
