Forget old words of customers that never come here, in the pass that forgets the others

A comment that told of an earlier form of the counter's use is put right. The new test fails without it.

--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -218,7 +218,7 @@
         if event.ending is Ending.OK:
             before = customer.total if customer.total_of == event.name else event.total
             customer.total, customer.total_of, customer.heard = event.total, event.name, True
-            if self.counter:  # of many, peers tell: the counter hears of those near their quota only
+            if self.counter:  # of many, peers tell of it: it must not count twice
                 self.others_used(customer, max(0.0, event.total - before - amount))
             put_right = self.judge_store(job, asked, amount, event.total)
             if put_right and (self.many or self.ask_share >= 1.0) and not job.ended:
@@ -307,7 +307,6 @@
         self.lateness = self.served = self.bad = self.ends = self.warm_sends = 0.0
         self.asked = {}
         self.forget(self.now - KEEP_MS)
-        self.strangers = {c: told for c, told in self.strangers.items() if told[-1][0] > self.now - KEEP_MS}
 
     def set_pace(self, wait: float) -> None:
         """Bound what is let in by a rate of our own for all servers: tries may multiply, servers do not.
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -279,7 +279,12 @@
             self.codes[code].share = min(1.0, percent / 100.0)
 
     def forget(self, before: float) -> None:
-        """Drop the customers not seen since a time, so that memory stays bounded."""
+        """Drop the customers not seen since a time, and what was told of others, so that memory stays bounded."""
+        for code, used in list(self.strangers.items()):
+            if used[0][0] < before:
+                self.strangers[code] = [entry for entry in used if entry[0] >= before]
+                if not self.strangers[code]:
+                    del self.strangers[code]
         for name in [n for n, c in self.customers.items() if c.seen < before and not c.open]:
             code = self.customers.pop(name).code
             self.columns.pop(code, None)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -534,6 +534,18 @@
         assert customer.shared == pytest.approx(left)
 
 
+def test_what_is_told_again_and_again_of_a_customer_that_never_comes_is_not_kept_for_ever() -> None:
+    door, code = Door(MANY, SIXTY), zlib.crc32(b"never here")
+    for _ in range(60):
+        door.feed(PeerMessage(3, gossip.encode([(code, 1.0)])))
+        door.now += 1000
+        door.feed(Alarm(0))
+    assert len(door.gateway.strangers[code]) <= policy.KEEP_MS / 1000
+    door.now += 2 * policy.KEEP_MS
+    door.feed(Alarm(0))
+    assert not door.gateway.strangers
+
+
 def test_customers_that_came_once_are_soon_forgotten() -> None:
     door = Door()
     for n in range(50):
