Simpler on rereading: one path for words on the wire, bars looked at once before the counter

Seen on rereading the change: the adapter handled Tell outside write_action, so a Tell given to that raised TypeError; ask_counter looked at all bars before its cheap conditions, and admit looked at them again. Change: write_action gives the messages of any action; ask_counter looks at the bars last, right before it would call. No decision differs but for the order in which chance is drawn.

--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -62,11 +62,11 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__(retries=RETRY_CAP / 2)
-        self.settings, self.random, peers = settings, random.Random(seed), settings.peers
+        self.settings, self.random = settings, random.Random(seed)
         self.first_limit = max(LIMIT_MIN, LIMIT_START / settings.gateways)
         mail = max(1.0, settings.peer_messages_per_s)
         gap = 1000.0 * settings.gateways / (MAIL_SHARE * mail)
-        self.peers = peers and (gap < NEWS_MS / 3 or not settings.counter)
+        self.peers = settings.peers and (gap < NEWS_MS / 3 or not settings.counter)
         self.open_gap = 1000.0 * max(1, settings.gateways - 1) / (OPEN_SHARE * mail)
         self.many = self.peers and self.open_gap > MANY_MS  # what cannot wait for a word to all goes to sets
         self.tell_gap = max(TICK_MS, gap * MAIL_SHARE / MANY_SHARE if self.many else gap)
@@ -187,11 +187,12 @@
         """Hold a request while the counter tells what all asked for; crowded, it hears a share for all."""
         customer, late = job.customer, job.deadline - self.now < 2.0 * self.settings.counter_wait_ms
         asked = self.counter or (self.many and self.settings.counter and not customer.plan.max_open)
-        if asked and self.many:  # others can only have taken from it since; what is given back late is lost
-            job.verdict = False if customer.level_now(self.now) < job.units else None
-            asked = job.verdict is None and not self.barred(job)
+        if asked and self.many and customer.level_now(self.now) < job.units:  # others only took from it since
+            job.verdict, asked = False, False
         if not asked or late or customer.plan.rate <= 0 or self.ask_share < self.random.random():
             return False
+        if self.many and self.barred(job):  # what would have to be given back is lost to all until then
+            return False
         name = customer.code << 8 | int(self.now / COUNT_MS) & 255
         job.told = job.units / self.ask_share
         amount, customer.unsaid = job.told + customer.unsaid, 0.0
--- a/petrelhall/wirehost.py
+++ b/petrelhall/wirehost.py
@@ -8,6 +8,7 @@
 import json
 import sys
 import traceback
+from collections.abc import Iterator
 from typing import Any, TextIO
 
 from petrelhall.decide import interface as api
@@ -83,28 +84,31 @@
     )
 
 
-def write_action(who: int, action: api.Action) -> list[Any]:
-    """Turn one action into its message."""
+def write_action(who: int, action: api.Action) -> Iterator[list[Any]]:
+    """Turn one action into its messages: one, but for words to several gateways."""
     match action:
         case api.Send(request, server, timeout_ms):
-            return ["Route", who, request, server, timeout_ms]
+            yield ["Route", who, request, server, timeout_ms]
         case api.Refuse(request, retry_after_ms):
-            return ["Refuse", who, request, retry_after_ms]
+            yield ["Refuse", who, request, retry_after_ms]
         case api.Fail(request):
-            return ["FinishError", who, request]
+            yield ["FinishError", who, request]
         case api.Cancel(request, attempt):
-            return ["Withdraw", who, request, attempt]
+            yield ["Withdraw", who, request, attempt]
         case api.SetTimer(after_ms, token):
-            return ["SetAlarm", who, after_ms, token]
+            yield ["SetAlarm", who, after_ms, token]
         case api.Probe(server):
-            return ["Probe", who, server]
+            yield ["Probe", who, server]
+        case api.Tell(content, to):
+            yield from (["Tell", who, number, content.hex()] for number in to or "*")
         case api.CounterAdd(name, amount, expire_ms):
-            return ["Add", who, name, amount, expire_ms]
+            yield ["Add", who, name, amount, expire_ms]
         case api.Subscribe():
-            return ["Observe", who, True]
+            yield ["Observe", who, True]
         case api.Note(text):
-            return ["NoteDown", who, text]
-    raise TypeError(f"no such action: {action!r}")
+            yield ["NoteDown", who, text]
+        case _:
+            raise TypeError(f"no such action: {action!r}")
 
 
 class Host:
@@ -159,10 +163,7 @@
             outbox.append(["Panic", who, f"{error!r} in {place.name}, line {place.lineno}, on {name}"])
             return
         for action in actions:
-            if isinstance(action, api.Tell):
-                outbox.extend(["Tell", who, number, action.content.hex()] for number in action.to or "*")
-            else:
-                outbox.append(write_action(who, action))
+            outbox.extend(write_action(who, action))
 
 
 def main(source: TextIO = sys.stdin, sink: TextIO = sys.stdout) -> None:
