--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -7,7 +7,6 @@
 import resource
 import select
 import signal
-import socket
 import sys
 from typing import TYPE_CHECKING
 
@@ -134,14 +133,15 @@
 
     def mind_signals(self) -> None:
         """Have signals wake the loop, which then reads their numbers."""
-        wake, woken = socket.socketpair()
+        # A pipe, not a socket pair: on the days at size a process may hold TCP and UDP sockets over IPv4 only.
+        wake, woken = os.pipe()
         for end in (wake, woken):
-            end.setblocking(False)
-        signal.set_wakeup_fd(woken.fileno(), warn_on_full_buffer=False)
+            os.set_blocking(end, False)
+        signal.set_wakeup_fd(woken, warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)  # the loop reads the number from the wake-up socket
-        self.loop.register(wake.fileno(), select.EPOLLIN, lambda mask: self.on_signals(wake.recv(64)))
-        self.signal_sockets = wake, woken
+            signal.signal(number, lambda *_: None)  # the loop reads the number from the wake-up pipe
+        self.loop.register(wake, select.EPOLLIN, lambda mask: self.on_signals(os.read(wake, 64)))
+        self.signal_pipe = wake, woken
 
     def run(self) -> None:
         """Serve until told to end."""
