Bind the clients' and peers' sockets with SO_REUSEPORT, so that an upgrade can start

Design: the second process binds where the first still listens, and the kernel spreads new connections over both.

The second process failed at bind with EADDRINUSE (front.py and peers.py set SO_REUSEADDR only) and main() turned that into 'cannot start', exit 1.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -13,7 +13,7 @@
 from petrelhall.http.h1 import Broken, Headers, Message, ServerSide
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, describe, now_ms
-from petrelhall.net.stream import NEW_SOCKET, Address, Stream
+from petrelhall.net.stream import Address, Stream, bound
 
 BACKLOG = 1024
 AT_ONCE = 64  # connections taken in one turn
@@ -65,9 +65,7 @@
         self.leaving = False  # clients are asked to leave with their next answer
         self.closing = False  # idle clients are closed
         self.on_empty: Callable[[], None] = lambda: None
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | NEW_SOCKET)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(address)
+        self.listener = bound(address)
         self.listener.listen(BACKLOG)
         self.accepting = self.starved = self.crowded = False
         self.accept_more()
--- a/petrelhall/gateway/peers.py
+++ b/petrelhall/gateway/peers.py
@@ -9,7 +9,7 @@
 from petrelhall.decide import interface as api
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop
-from petrelhall.net.stream import NEW_SOCKET, Address
+from petrelhall.net.stream import Address, bound
 
 MOST = 256  # bytes in a datagram
 SHIFT = b"\x53"  # begins what gateways say of a move between pools; the module's own begin with its version
@@ -23,9 +23,7 @@
         self.numbers = {peer: number for number, peer in enumerate(peers) if number != position}
         self.peers, self.everyone, self.tell, self.counts = peers, everyone, tell, counts
         self.on_shift: Callable[[int, bytes], None] = lambda number, content: None
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | NEW_SOCKET)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(own)
+        self.sock = bound(own, socket.SOCK_DGRAM)
         loop.register(self.sock.fileno(), select.EPOLLIN, self.on_ready)
 
     def send(self, content: bytes, to: tuple[int, ...] = ()) -> None:
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -159,6 +159,23 @@
         return error
 
 
+def bound(address: Address, kind: int = socket.SOCK_STREAM) -> socket.socket:
+    """Give a socket bound to an address that another process of this gateway may hold as well (OSError).
+
+    SO_REUSEPORT: during an upgrade the new process listens where the old one still does, and the kernel
+    spreads new connections and datagrams over both; without it the new process cannot start at all.
+    """
+    sock = socket.socket(socket.AF_INET, kind | NEW_SOCKET)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def parse_address(text: str) -> Address:
     """Read host:port."""
     host, _, port = text.rpartition(":")
