A management listener: ready, servers taken out and put back, kept across upgrades

Design: calls are read and servers' marks kept by a pure package (control), the listener in gateway/mgmt.py holds 16 callers at most and lets go of the one that waited longest for its call; the marks go to $TMPDIR, written whole and then renamed, and each process looks at the file every 250 ms, the later word on a server winning. A server taken out is shown to the module and the links as cordoned; one put back as started at that moment, so both treat it as cold.

Tests: calls answered within 1 s beside 40 silent or half callers; a server taken out gets nothing until put back, then work within 5 s under load; a ban holds for the next process.

--- a/petrelhall/boxes/fleet.py
+++ b/petrelhall/boxes/fleet.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from petrelhall.control.bans import Bans
 from petrelhall.decide import interface as api
 from petrelhall.net.stream import Address, parse_address
 
 PHASES = {"Ready": "healthy", "Terminating": "cordoned", "Gone": "deregistered"}
+MOST_EVER = 8192  # ids remembered as once listed
 
 
 class Fleet:
@@ -23,6 +25,10 @@
         self.entries: dict[str, dict[str, Any]] = {}  # as discovery told them
         self.label: Callable[[dict[str, Any]], str | None] = lambda entry: ""  # a box's pool; None: in no use
         self.changed: Callable[[], None] = lambda: None  # called after each change, before the module is told
+        # The operators' word wins over discovery's: a server taken out drains, whatever the list says, and one
+        # put back has started anew at that moment, since it was restarted meanwhile and comes back cold.
+        self.bans = Bans("")
+        self.ever: set[str] = set()  # ids that were ever listed here: only those may be taken out
 
     def take(self, listing: Any, kind: str | None = None) -> api.ServerList:
         """Take in an answer of discovery, all or nothing (ValueError), and give it in the module's terms.
@@ -33,7 +39,11 @@
             raise ValueError("not a list of servers")
         version, kind = int(listing.get("version") or 0), kind or ("full" if listing.get("full") else "delta")
         read = [self.line(entry) for entry in listing["servers"]]
-        told = {entry["id"] for entry in listing["servers"] if entry.get("started_ms") is not None}
+        told = {entry["id"] for entry in listing["servers"]
+                if entry.get("started_ms") is not None or self.bans.back_at(entry["id"])}
+        if len(self.ever) > MOST_EVER:
+            self.ever = set(self.entries)
+        self.ever.update(server.address for server, _ in read)
         if kind != "delta":
             self.addresses, self.healthy, self.started, self.entries = {}, set(), {}, {}
         for (server, address), entry in zip(read, listing["servers"], strict=True):
@@ -69,10 +79,11 @@
         address = ("", 0) if gone and not entry.get("addr") else parse_address(str(entry.get("addr")))
         weight = entry.get("weight")
         pool = self.label(entry)
+        out = (pool is None or self.bans.holds(entry["id"])) and not gone
+        since = max(float(entry.get("started_ms") or 0.0), self.bans.back_at(entry["id"]))
         server = api.Server(
             entry["id"], self.zone(entry.get("zone")), int(entry.get("cell") or 0),
-            "cordoned" if pool is None and not gone else phase,
-            1.0 if weight is None else float(weight), float(entry.get("started_ms") or 0.0), pool or "",
+            "cordoned" if out else phase, 1.0 if weight is None else float(weight), since, pool or "",
         )
         return server, address
 
--- a/petrelhall/gateway/config.py
+++ b/petrelhall/gateway/config.py
@@ -25,6 +25,7 @@
     name: str
     listen: Address
     discovery: Address
+    mgmt: Address | None  # where operators call; absent on older days
     seed: int
     sockets: int
     peer_listen: Address | None
@@ -58,7 +59,7 @@
     except ValueError as error:
         raise ConfigError(f"{prefix}CONFIG: {path} is not JSON: {error}") from error
     if isinstance(value, dict):
-        for key in ("name", "listen", "discovery"):
+        for key in ("name", "listen", "discovery", "mgmt"):
             newer = anew and key == "discovery" and value.get(key)
             if environment.get(prefix + key.upper()) and not newer:
                 value[key] = environment[prefix + key.upper()]
@@ -76,6 +77,7 @@
         name=top.text("name") or "gateway",
         listen=address(top, "listen"),
         discovery=address(top, "discovery"),
+        mgmt=optional_address(top, "mgmt"),
         seed=seed(top),
         sockets=int(top.section("limits").number("sockets", 1024.0)),
         peer_listen=optional_address(top, "peer_listen"),
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -18,6 +18,7 @@
 from petrelhall.gateway.counter import CounterClient
 from petrelhall.gateway.dispatch import Dispatcher
 from petrelhall.gateway.front import CLOSE_MS, Front
+from petrelhall.gateway.mgmt import CALLERS, Management
 from petrelhall.gateway.peers import Peers
 from petrelhall.gateway.platform import Platform
 from petrelhall.gateway.requests import Desk
@@ -51,7 +52,8 @@
         settings = config.settings
         self.dispatcher = Dispatcher(self.loop, Gateway(settings, config.seed), self.counts, log)
         platform = Platform(settings, config.classes, config.plans)
-        room = max(20, min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS)
+        own = OWN_SOCKETS + (CALLERS if config.mgmt else 0)
+        room = max(20, min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - own)
         clients = int(CLIENT_SHARE * room)
         plan = Plan(operator.links, room - clients, config.conn_idle_ms, settings.cold_ms, settings.gateways,
                     config.seed)
@@ -68,6 +70,15 @@
         self.front = Front(self.loop, config.listen, platform, desk, lambda: bool(self.fleet.addresses),
                            self.counts, log, clients)
         self.front.on_empty = self.loop.stop
+        self.mgmt: Management | None = None
+        if config.mgmt is not None:
+            self.mgmt = Management(self.loop, config.mgmt, self.fleet, self.ready, self.dispatcher.tell,
+                                   self.counts, log.write, config.name)
+            self.dispatcher.tell(self.fleet.relabel())  # servers that the operators took out before this start
+
+    def ready(self) -> bool:
+        """Tell whether this process takes clients: it listens, is not ending, and knows servers to send to."""
+        return not self.stopping and not self.front.closing and bool(self.fleet.addresses)
 
     def join_others(self) -> None:
         """Open the ways to the other gateways that the configuration names."""
