What is taken after SIGTERM ends before the kill that follows it on an upgrade

Design: the front bounds the time of each request it takes after SIGTERM to the longest deadline (3 s at most) and 0.7 s after the signal, less 250 ms to write; the module then gives up in time and the client is answered. Not taken: closing the listener at once on SIGTERM (on a plain restart clients still come for 400 ms and would find nobody).

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -6,6 +6,7 @@
 import select
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from petrelhall.gateway.platform import READY
@@ -26,6 +27,9 @@
 SEND_MS = 10000.0  # in which a client must have read its answer
 LINGER_MS = 400.0  # in which a client may read an answer that came before it had said all
 ASK_TO_LEAVE_MS, CLOSE_MS = 450.0, 800.0  # after being told to end: clients still come for up to 400 ms
+# After SIGTERM an upgrade's old process is killed once the longest deadline (3 s at most) and 0.7 s have passed:
+# what is taken after being told to end must have its answer before then, with time to write it.
+KILL_CAP_MS, KILL_AFTER_MS, WRITE_MS = 3000.0, 700.0, 250.0
 
 
 class Wording(Protocol):
@@ -64,6 +68,7 @@
         self.names: set[bytes] = set()  # of the requests in hand
         self.leaving = False  # clients are asked to leave with their next answer
         self.closing = False  # idle clients are closed
+        self.end_by = float("inf")  # Unix ms by which what is taken must be answered
         self.on_empty: Callable[[], None] = lambda: None
         self.listener = bound(address)
         self.listener.listen(BACKLOG)
@@ -175,6 +180,8 @@
             keep = client.http.answer(status, [], body, self.leaving)
         else:
             request = self.wording.request(asked) if isinstance(asked, Message) else asked
+            if isinstance(request, Request) and request.left_ms > self.end_by - now_ms():
+                request = replace(request, left_ms=max(1.0, self.end_by - now_ms()))
             if isinstance(request, Request) and request.name in self.names:
                 request = Broken(400, "a request of that name is in hand")  # which goes on undisturbed
             if isinstance(request, Broken):
@@ -243,8 +250,12 @@
 
     # The end
 
-    def stop(self) -> None:
-        """Begin the end: serve on for as long as clients may still come, then end what is idle."""
+    def stop(self, longest_ms: float) -> None:
+        """Begin the end: serve on for as long as clients may still come, then end what is idle.
+
+        ``longest_ms`` is the longest deadline of any class: with it the time of a kill is known.
+        """
+        self.end_by = now_ms() + min(longest_ms, KILL_CAP_MS) + KILL_AFTER_MS - WRITE_MS
         self.loop.after(ASK_TO_LEAVE_MS, self.ask_to_leave)
         self.loop.after(CLOSE_MS, self.close)
 
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -175,8 +175,8 @@
                 self.loop.guard(self.reload)
             elif not self.stopping:
                 self.stopping = True
-                self.front.stop()
                 longest = max(kind.deadline_ms for kind in self.config.settings.classes)
+                self.front.stop(longest)
                 self.loop.after(CLOSE_MS + longest + LAST_MS, self.loop.stop)  # nobody waits any more
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 from tests.peers import PATIENCE_S, Story, ask, read_message, reply
 
@@ -34,3 +35,17 @@
         at_server.sendall(reply(b"new"))
         self.assertTrue(read_message(late).endswith(b"new"))
         self.assertIsNone(second.poll())
+
+    def test_what_is_taken_after_sigterm_is_answered_before_the_kill_that_follows(self) -> None:
+        server = self.listener()
+        first = self.start(server)
+        self.client(ask(1))  # it listens
+        read_message(self.accept(server))
+        began = time.monotonic()
+        first.send_signal(signal.SIGTERM)
+        late = self.client(ask(2, deadline="6000m"))  # taken while clients still come, with all of its time
+        read_message(self.accept(server))  # which the server never answers
+        late.settimeout(PATIENCE_S)
+        answer = read_message(late)
+        self.assertRegex(answer, rb"^HTTP/1.1 (429|502|503|504) ")
+        self.assertLess(time.monotonic() - began, 3.0 + 0.7)  # the longest deadline, as counted, and 0.7 s
