On an upgrade the old process leaves as soon as the new one says it is ready

Design: each process, once ready, leaves a mark (pid, start time) under $TMPDIR, written whole and renamed; each reads it every 250 ms before writing, and one that finds the mark of another process started after it begins its orderly end, as at SIGTERM.

Need: SIGTERM reaches the old process up to 6 s after the new one's yes; until then both serve a whole gateway's quotas and speak as one peer. Tests: the old process leaves by itself, exit 0, and the new one serves (fails without the look at the mark); marks of its own, of older processes or spoilt move nobody.

--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -18,6 +18,7 @@
 from petrelhall.gateway.counter import CounterClient
 from petrelhall.gateway.dispatch import Dispatcher
 from petrelhall.gateway.front import CLOSE_MS, Front
+from petrelhall.gateway.handover import Handover
 from petrelhall.gateway.mgmt import CALLERS, Management
 from petrelhall.gateway.peers import Peers
 from petrelhall.gateway.platform import Platform
@@ -75,6 +76,7 @@
             self.mgmt = Management(self.loop, config.mgmt, self.fleet, self.ready, self.dispatcher.tell,
                                    self.counts, log.write, config.name)
             self.dispatcher.tell(self.fleet.relabel())  # servers that the operators took out before this start
+        self.handover = Handover(self.loop, config.name, self.ready, self.begin_end, log.write)
 
     def ready(self) -> bool:
         """Tell whether this process takes clients: it listens, is not ending, and knows servers to send to."""
@@ -173,11 +175,16 @@
                     self.log.write(line)
             elif number == signal.SIGHUP:
                 self.loop.guard(self.reload)
-            elif not self.stopping:
-                self.stopping = True
-                longest = max(kind.deadline_ms for kind in self.config.settings.classes)
-                self.front.stop(longest)
-                self.loop.after(CLOSE_MS + longest + LAST_MS, self.loop.stop)  # nobody waits any more
+            else:
+                self.begin_end()
+
+    def begin_end(self) -> None:
+        """Serve on while clients may still come, answer what was taken, and stop; once only."""
+        if not self.stopping:
+            self.stopping = True
+            longest = max(kind.deadline_ms for kind in self.config.settings.classes)
+            self.front.stop(longest)
+            self.loop.after(CLOSE_MS + longest + LAST_MS, self.loop.stop)  # nobody waits any more
 
 
 def main(arguments: list[str] | None = None) -> int:
