--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -22,6 +22,9 @@
 # A first request must be whole within FIRST_MS of connecting, however slowly it trickles in, and a later one
 # within WHOLE_MS of its first byte; a connection without a request is kept for IDLE_MS.
 FIRST_MS, WHOLE_MS, IDLE_MS = 2200.0, 2200.0, 8000.0
+# Beyond that, a request is given time for what it has sent: clients may send a body at 64 kB/s after a head of
+# 2 s (the operators' days), so each byte come earns it the time of two at that pace. A trickle earns nothing.
+MS_PER_BYTE = 2 * 1000.0 / 64000.0
 SWEEP_MS = 200.0  # between two looks for connections whose time is up
 ROOM = 8  # connections ended at once where there are too many
 SEND_MS = 10000.0  # in which a client must have read its answer
@@ -50,6 +53,7 @@
         self.busy = self.answered = self.begun = False  # one request in hand; any answered; the next begun
         self.since = now_ms()  # when it connected, or was last answered
         self.until = self.since + FIRST_MS  # when it is over, unless a request is whole by then
+        self.counted = 0  # bytes of the stream that came before this request
 
     @property
     def gone(self) -> bool:
@@ -201,7 +205,7 @@
         if not keep and not (isinstance(asked, Broken) and asked.status == 408):  # of that, nothing is unread
             yield from self.linger(client)
         client.busy, client.answered, client.begun, client.since = False, True, False, now_ms()
-        client.until = client.since + IDLE_MS
+        client.until, client.counted = client.since + IDLE_MS, client.stream.received
         return keep and not client.gone
 
     def asked(self, client: Client) -> Steps[Message | Broken | None]:
@@ -215,7 +219,8 @@
                 client.begun = True
                 if client.answered:
                     client.until = now + WHOLE_MS
-            if now >= client.until or (self.closing and not begun):
+            earned = (client.stream.received - client.counted) * MS_PER_BYTE if begun else 0.0
+            if now >= client.until + earned or (self.closing and not begun):
                 if begun:
                     return Broken(408, "request did not come whole")
                 # What the kernel already holds has been taken: it is answered before the connection ends.
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -23,13 +23,14 @@
     """One connection. ``notify`` is called whenever something about it has changed."""
 
     __slots__ = ("loop", "sock", "fd", "notify", "connecting", "ended", "error", "incoming", "outgoing",
-                 "mask", "unwanted")
+                 "mask", "unwanted", "received")
 
     def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object],
                  connecting: bool = False) -> None:
         self.loop, self.sock, self.fd, self.notify = loop, sock, sock.fileno(), notify
         self.connecting, self.ended, self.error = connecting, False, 0
         self.incoming, self.outgoing, self.unwanted = bytearray(), bytearray(), False
+        self.received = 0  # bytes taken in, all told
         self.mask = select.EPOLLOUT if connecting else IN
         loop.register(self.fd, self.mask, self.on_ready)
 
@@ -65,6 +66,7 @@
             return self.end(error.errno or errno.EIO)
         if not data:
             return self.end(0)
+        self.received += len(data)
         self.incoming += data
         if len(self.incoming) > MOST_UNREAD:
             self.watch()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -294,6 +294,23 @@
         self.assertEqual(silent.recv(100), b"")
         self.assertLess(time.monotonic(), begin + 3.0)
 
+    def test_a_slow_head_and_a_body_at_64_kb_a_second_are_waited_for(self) -> None:
+        server = self.listener()
+        self.start(server)
+        body = b"x" * 60000
+        head = ask(kind="change", Idempotency_Key="k1").replace(b"GET ", b"POST ", 1)
+        head = head[:-2] + b"Content-Length: %d\r\n\r\n" % len(body)
+        client = self.client(head[:40])
+        time.sleep(1.8)  # a client may spend 2 s on a head: this one is the pace of the story
+        client.sendall(head[40:])
+        for start in range(0, len(body), 8000):
+            time.sleep(0.125)  # 64 kB a second
+            client.sendall(body[start:start + 8000])
+        at_server = self.accept(server)
+        self.assertTrue(read_message(at_server).endswith(body))
+        at_server.sendall(reply(b"taken"))
+        self.assertTrue(read_message(client).endswith(b"taken"))
+
     def test_hundreds_that_say_nothing_do_not_keep_out_those_that_ask(self) -> None:
         server = self.listener()
         self.start(server, sockets=100)
