--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -116,15 +116,7 @@
         self.begin(first, second)
         self.assertEqual(call(self.mgmt, "POST", "/control/servers/s0/offline"), 200)
         self.assertEqual(call(self.mgmt, "POST", "/control/servers/s0/offline"), 200)  # again: still yes
-        first.settimeout(0.3)
-        for number in range(1, 5):
-            client = self.client(ask(number))
-            at_server = self.accept(second)
-            read_message(at_server)
-            at_server.sendall(reply(b"ok", "200 OK", "Connection: close"))
-            self.assertTrue(read_message(client).endswith(b"ok"))
-        with self.assertRaises(TimeoutError):
-            first.accept()
+        self.all_to(second, instead_of=first)
         self.assertEqual(call(self.mgmt, "POST", "/control/servers/s0/online"), 200)
         until, number = time.monotonic() + 5.0, 10  # back cold, and used again within 5 s
         with selectors.DefaultSelector() as ready:
@@ -151,15 +143,19 @@
         self.assertEqual(call(self.mgmt, "POST", "/control/servers/s0/offline"), 200)
         self.stop()
         self.begin(first, second)  # the new process reads what the old one kept under $TMPDIR
-        first.settimeout(0.3)
-        for number in range(1, 4):
+        self.all_to(second, instead_of=first)
+
+    def all_to(self, server: socket.socket, instead_of: socket.socket) -> None:
+        """Have a few requests served, each by one server and none by the other."""
+        instead_of.settimeout(0.3)
+        for number in range(1, 5):
             client = self.client(ask(number))
-            at_server = self.accept(second)
+            at_server = self.accept(server)
             read_message(at_server)
             at_server.sendall(reply(b"ok", "200 OK", "Connection: close"))
             self.assertTrue(read_message(client).endswith(b"ok"))
         with self.assertRaises(TimeoutError):
-            first.accept()
+            instead_of.accept()
 
 
 def address_of(where: tuple[str, int]) -> str:
