The first request of each bad kind, and the first answer too large, are told in the log

On-call staff get the same line: one per kind per process. Test: of 18 requests answered 400 one line is told, and the 413 with its reason.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -189,6 +189,8 @@
             if isinstance(request, Request) and request.name in self.names:
                 request = Broken(400, "a request of that name is in hand")  # which goes on undisturbed
             if isinstance(request, Broken):
+                if not self.counts.get("answered", f"bad_{request.status}"):  # the first of each, for on-call
+                    self.log(f"first request answered {request.status}: {request.reason}")
                 self.counts.add("answered", f"bad_{request.status}")
                 answer = request
             else:
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -229,6 +229,10 @@
                 # A spoilt answer comes from a box that lives: an error of one request. Told as a reset it
                 # would count as the box's death, and the module would leave it alone and treat it as cold.
                 self.counts.add("servers", "spoilt_answers")
+                if reply.reason == "answer too large":  # the first is told, for on-call: answers are not streamed
+                    if not self.counts.get("servers", "too_large"):
+                        self.loop.log(f"an answer of box {link.box.id} was over the bytes kept: taken for an error")
+                    self.counts.add("servers", "too_large")
                 return Result(Ending.ERROR, reach, reply.reason)
             if isinstance(reply, Broken) or stream.ended:
                 # A connection that breaks before the last byte is written proves that nothing ran. Only one
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -258,6 +258,8 @@
         self.assertTrue(read_message(client).startswith(b"HTTP/1.1 200"))
         counts = self.stop()
         self.assertIn("answered.bad_400=18 answered.bad_404=1 answered.bad_413=1", counts)
+        self.assertEqual(len(re.findall(r"first request answered 400", counts)), 1)  # the first of each is told
+        self.assertIn("first request answered 413: body too large", counts)
         self.assertNotIn("taken.", counts)
         server.settimeout(0)
         self.assertRaises(BlockingIOError, server.accept)
