Answers too large to keep are passed on to the client as they come, reading as it reads

Design: past 64 KiB a server's answer becomes Flowing (head, first bytes, the rest on its connection); the module hears of the attempt's end at the head, the pool hands the connection to the front, which writes the head (with the length, or in chunks) and passes pieces on, reading the server only while under 256 KiB wait for the client; a piece that does not come for 4 s cuts both off. Above 64 MiB stated it is refused as before. Not taken: keeping answers whole up to a larger bound (a 32 MB answer would hold its first bytes back, and many at once would pass the memory limit).

--- a/petrelhall/boxes/discovery.py
+++ b/petrelhall/boxes/discovery.py
@@ -8,7 +8,7 @@
 
 from petrelhall.boxes.fleet import Fleet
 from petrelhall.decide import interface as api
-from petrelhall.http.h1 import Broken, ClientSide, Reply
+from petrelhall.http.h1 import Broken, ClientSide, Flowing, Reply
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, now_ms
 from petrelhall.net.stream import Address, connect
@@ -101,10 +101,12 @@
                 timer.cancel()
             stream.close()
 
-    def take(self, reply: Reply | Broken | None) -> str:
+    def take(self, reply: Reply | Flowing | Broken | None) -> str:
         """Use an answer; give what was wrong with it, if anything was."""
         if reply is None:
             return "no answer in time"
+        if isinstance(reply, Flowing):  # a list is kept whole or not at all
+            return "list too large"
         if isinstance(reply, Broken):
             return reply.reason
         if reply.status != 200:
--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -10,8 +10,8 @@
 from typing import Protocol
 
 from petrelhall.gateway.platform import READY
-from petrelhall.gateway.requests import Answer, Desk, Request
-from petrelhall.http.h1 import Broken, Headers, Message, ServerSide
+from petrelhall.gateway.requests import Answer, Desk, Request, Served
+from petrelhall.http.h1 import Broken, Flowing, Headers, Message, ServerSide
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, describe, now_ms
 from petrelhall.net.stream import Address, Stream, bound
@@ -28,6 +28,8 @@
 SWEEP_MS = 200.0  # between two looks for connections whose time is up
 ROOM = 8  # connections ended at once where there are too many
 SEND_MS = 10000.0  # in which a client must have read its answer
+STALL_MS = 4000.0  # in which a flowing answer must move on, from the server and to the client
+FLOW_HIGH = 262144  # bytes waiting for a client, past which its server is not read
 LINGER_MS = 400.0  # in which a client may read an answer that came before it had said all
 ASK_TO_LEAVE_MS, CLOSE_MS = 450.0, 800.0  # after being told to end: clients still come for up to 400 ms
 # After SIGTERM an upgrade's old process is killed once the longest deadline (3 s at most) and 0.7 s have passed:
@@ -202,7 +204,10 @@
                 if answer is None:
                     return False
             last = self.leaving or isinstance(asked, Broken)
-            keep = client.http.answer(*self.wording.answer(answer), last)
+            if isinstance(answer, Served) and isinstance(answer.reply, Flowing):
+                keep = yield from self.flow(client, answer.reply, last)
+            else:
+                keep = client.http.answer(*self.wording.answer(answer), last)
         yield from self.sent(client)
         if not keep and not (isinstance(asked, Broken) and asked.status == 408):  # of that, nothing is unread
             yield from self.linger(client)
@@ -232,6 +237,46 @@
                 continue
             yield
 
+    def flow(self, client: Client, answer: Flowing, last: bool) -> Steps[bool]:
+        """Pass an answer on as it comes, reading the server only as fast as the client reads.
+
+        A server that says nothing more for STALL_MS, or a client that reads nothing for as long, ends both: the
+        client cannot be told otherwise that the rest will not come.
+        """
+        answer.taken = True
+        source, wake = answer.source, self.loop.this_task().wake
+        source.stream.notify = wake
+        kind = answer.headers.get(b"content-type")
+        client.http.begin(answer.status if answer.status == 200 else 502,
+                          [(b"Content-Type", kind)] if kind else [], answer.length, last)
+        data, whole, keep = answer.first, False, False
+        stall = now_ms() + STALL_MS
+        timer = self.loop.at(stall, wake)
+        try:
+            while not client.gone:
+                if data or whole:
+                    keep = client.http.more(data, whole)
+                    data, stall = b"", now_ms() + STALL_MS
+                    timer.cancel()
+                    timer = self.loop.at(stall, wake)
+                    if whole:
+                        return keep
+                if len(client.stream.outgoing) < FLOW_HIGH:
+                    got = source.flow()
+                    if isinstance(got, Broken):
+                        break
+                    data, whole = got
+                    if data or whole:
+                        continue
+                if now_ms() >= stall:
+                    break
+                yield
+            client.stream.end(errno.EPIPE)  # cut off: the client must not take it for whole
+            return False
+        finally:
+            timer.cancel()
+            answer.done(whole)
+
     def sent(self, client: Client) -> Steps[None]:
         """Wait until an answer has gone out; a client that does not read it may not stay for ever."""
         if not client.stream.outgoing:
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -11,6 +11,7 @@
 from petrelhall.net.stream import Stream
 
 MOST_BODY = 65536
+MOST_FLOWING = 1 << 26  # bytes of an answer passed on as it comes: the platform's are up to 32 MB
 MOST_INTERIM = 8  # answers of 1xx in front of the final one
 Headers = list[tuple[bytes, bytes]]
 OwnHeaders: Any = type(h11.Response(status_code=200, headers=[]).headers)
@@ -37,6 +38,22 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class Flowing:
+    """An answer too large to keep: its head and first bytes, the rest still to come from ``source``.
+
+    ``done`` is told, once, whether the rest came whole; ``length`` is None for an answer in chunks.
+    """
+
+    status: int
+    headers: dict[bytes, bytes]
+    first: bytes
+    length: int | None
+    source: ClientSide
+    done: Any = None
+    taken: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Broken:
     """The other side said something that cannot be used; ``status`` is what a client is to be told."""
@@ -141,6 +158,26 @@
             return True
         return False
 
+    def begin(self, status: int, headers: Headers, length: int | None, last: bool) -> None:
+        """Write the head of an answer whose body follows in pieces: with its length, or in chunks."""
+        fields = [*headers, (b"Content-Length", b"%d" % length) if length is not None
+                  else (b"Transfer-Encoding", b"chunked")]
+        if last:
+            fields.append((b"Connection", b"close"))
+        self.stream.write(self.http.send(h11.Response(status_code=status, headers=fields)) or b"")
+
+    def more(self, data: bytes, end: bool) -> bool:
+        """Write a piece of the body, and at its end tell whether the connection can carry another request."""
+        if data:
+            self.stream.write(self.http.send(h11.Data(data=data)) or b"")
+        if not end:
+            return False
+        self.stream.write(self.http.send(END) or b"")
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+            return True
+        return False
+
     def send(self, event: h11.InformationalResponse) -> None:
         """Write something that is no answer yet."""
         self.stream.write(self.http.send(event) or b"")
@@ -167,7 +204,7 @@
         data += self.http.send(END) or b""
         self.stream.write(data)
 
-    def reply(self, most: int = MOST_BODY) -> Reply | Broken | None:
+    def reply(self, most: int = MOST_BODY) -> Reply | Flowing | Broken | None:
         """Give the answer once it is whole; what comes of half an answer is broken, never served."""
         if self.stream.incoming:
             self.http.receive_data(self.stream.take())
@@ -188,12 +225,14 @@
                     framed = length is not None or b"transfer-encoding" in self.headers
                     if ambiguous(self.headers) or not framed:  # a connection's end proves no answer whole
                         return Broken(502, "answer whose end is not told")
-                    if (length or 0) > most:
+                    if (length or 0) > MOST_FLOWING:
                         return Broken(502, "answer too large")
+                    if (length or 0) > most:
+                        return self.flowing(event, length)
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > most:
-                        return Broken(502, "answer too large")
+                        return self.flowing(self.head, stated_length(self.headers))
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                     head, self.head = self.head, None
                     return Reply(head.status_code, self.headers, bytes(self.body))
@@ -204,6 +243,36 @@
         except h11.RemoteProtocolError as error:
             return Broken(502, str(error))
 
+    def flowing(self, head: h11.Response | None, length: int | None) -> Flowing | Broken:
+        """Give what came of an answer too large to keep, to be passed on as the rest comes."""
+        if head is None:
+            return Broken(502, "no answer")
+        first = bytes(self.body)
+        self.body.clear()
+        return Flowing(head.status_code, self.headers, first, length, self)
+
+    def flow(self) -> tuple[bytes, bool] | Broken:
+        """Give what more has come of a flowing answer, and whether it is all; broken where it was cut off."""
+        if self.stream.incoming:
+            self.http.receive_data(self.stream.take())
+        data = bytearray()
+        try:
+            while True:
+                event = self.http.next_event()
+                if isinstance(event, h11.Data):
+                    data += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    self.head = None
+                    return bytes(data), True
+                elif event is h11.NEED_DATA and self.stream.ended:
+                    self.http.receive_data(b"")
+                elif event is h11.NEED_DATA:
+                    return bytes(data), False
+                else:
+                    return Broken(502, "answer cut off")
+        except h11.RemoteProtocolError as error:
+            return Broken(502, str(error))
+
     def again(self) -> bool:
         """Make ready for the next request; False where this connection cannot carry one."""
         stream = self.stream
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from petrelhall.decide.interface import Ending
-from petrelhall.http.h1 import Broken, ClientSide, Reply
+from petrelhall.http.h1 import Broken, ClientSide, Flowing, Reply
 from petrelhall.links.attempt import Reach, Result, Wording
 from petrelhall.links.plan import End, Link, No, Plan, State, Wait
 from petrelhall.net.counts import Counts
@@ -86,7 +86,7 @@
         stream, link = connection.http.stream, connection.link
         stream.notify = self.loop.this_task().wake
         timers = [self.loop.at(until, stream.notify)]
-        keep = asked = False
+        keep = asked = handed = False
         cause = "broken"
         try:
             if stream.connecting:
@@ -100,6 +100,15 @@
             connection.http.ask(*self.wording.outgoing(message, until - now_ms()))
             asked = True
             result = yield from self.answered(connection, until, stopped)
+            if isinstance(result.reply, Flowing) and result.ending is not Ending.OK:
+                return Result(result.ending, result.reach, "answer too large", None, result.report, result.used)
+            if isinstance(result.reply, Flowing):
+                flowing = result.reply
+                flowing.done = lambda whole: self.flowed(connection, whole)
+                handed = True
+                # Taken in this same step by the front, or never (its client left): then it is closed.
+                self.loop.after(0.0, lambda: flowing.taken or flowing.done(False))
+                return result
             if result.reach is Reach.ANSWERED:
                 keep, cause = connection.http.again(), "told"
             elif result.ending in (Ending.CANCELLED, Ending.TIMEOUT):
@@ -113,7 +122,16 @@
         finally:
             for timer in timers:
                 timer.cancel()
-            self.release(connection, keep, cause)
+            if not handed:
+                self.release(connection, keep, cause)
+
+    def flowed(self, connection: Connection, whole: bool) -> None:
+        """Take back a connection whose answer was passed on as it came; kept only where it came whole."""
+        if connection.link.state is not State.BUSY:
+            return  # taken back already
+        if whole:
+            self.plan.answered(now_ms(), connection.link)
+        self.release(connection, whole and connection.http.again(), "told" if whole else "broken")
 
     def usable(self, link: Link) -> Connection | Result | None:
         """Give the connection of a link that was taken, begun if it is new; None where it proves closed."""
@@ -216,6 +234,10 @@
         while True:
             reply = http.reply()
             reach = Reach.UNWRITTEN if stream.outgoing else Reach.WRITTEN
+            if isinstance(reply, Flowing):  # the rest is passed on by whoever takes the answer
+                verdict = self.wording.verdict(Reply(reply.status, reply.headers, b""))
+                return Result(verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply, verdict.report,
+                              verdict.used)
             if isinstance(reply, Reply):
                 self.plan.answered(now_ms(), link)
                 if b"keep-alive" in reply.headers:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -296,6 +296,28 @@
         self.assertEqual(silent.recv(100), b"")
         self.assertLess(time.monotonic(), begin + 3.0)
 
+    def test_answers_too_large_to_keep_are_passed_on_whole_as_they_come(self) -> None:
+        server = self.listener()
+        self.start(server)
+        large = bytes(range(256)) * 12288  # 3 MB
+        client = self.client(ask(1))
+        at_server = self.accept(server)
+        read_message(at_server)
+        at_server.sendall(reply(large))
+        self.assertTrue(read_message(client).endswith(b"\r\n\r\n" + large))
+        chunked = b"".join(b"%x\r\n%s\r\n" % (65536, large[i:i + 65536]) for i in range(0, 1 << 20, 65536))
+        client.sendall(ask(2))
+        read_message(at_server)  # on the same connection: the first answer left it clean
+        at_server.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked + b"0\r\n\r\n")
+        data = b""
+        while not data.endswith(b"0\r\n\r\n"):
+            data += client.recv(1 << 20)
+        rest, body = data.partition(b"\r\n\r\n")[2], b""
+        while rest != b"0\r\n\r\n":  # pieces of any size: what counts is what they hold
+            size, _, rest = rest.partition(b"\r\n")
+            body, rest = body + rest[:int(size, 16)], rest[int(size, 16) + 2:]
+        self.assertEqual(body, large[: 1 << 20])
+
     def test_a_slow_head_and_a_body_at_64_kb_a_second_are_waited_for(self) -> None:
         server = self.listener()
         self.start(server)
