--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import re
@@ -318,6 +319,20 @@
             body, rest = body + rest[:int(size, 16)], rest[int(size, 16) + 2:]
         self.assertEqual(body, large[: 1 << 20])
 
+    def test_a_client_that_leaves_before_a_large_answer_ends_its_server_connection(self) -> None:
+        server = self.listener()
+        self.start(server)
+        client = self.client(ask(1))
+        at_server = self.accept(server)
+        read_message(at_server)
+        client.close()  # gone before the answer comes
+        time.sleep(0.2)  # the gateway sees the client leave: that is the story, not a race to win
+        at_server.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 100000)
+        at_server.settimeout(PATIENCE_S)
+        with contextlib.suppress(ConnectionResetError):
+            while at_server.recv(65536):
+                pass  # whatever comes, the connection must end: nobody will read the rest
+
     def test_a_slow_head_and_a_body_at_64_kb_a_second_are_waited_for(self) -> None:
         server = self.listener()
         self.start(server)
