One way to write a shared file whole; the bans file read only when it changed

Cause: on rereading the change, mgmt.py and handover.py each wrote a file beside its place and renamed it (now net/files.write_whole); Management.look read the whole file every 250 ms before looking whether it had changed (now stat first); Handover.write returned True on both ways; pool.flowed guarded against a second telling that cannot come (the front tells once, or the look at the next turn where nobody took it); the status chosen in Front.flow could only be 200; a comment said answers are not streamed. Change: those made plain, behaviour the same.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -247,8 +247,8 @@
         source, wake = answer.source, self.loop.this_task().wake
         source.stream.notify = wake
         kind = answer.headers.get(b"content-type")
-        client.http.begin(answer.status if answer.status == 200 else 502,
-                          [(b"Content-Type", kind)] if kind else [], answer.length, last)
+        # Only answers that served are passed on: the status is the server's 200.
+        client.http.begin(answer.status, [(b"Content-Type", kind)] if kind else [], answer.length, last)
         data, whole, keep = answer.first, False, False
         stall = now_ms() + STALL_MS
         timer = self.loop.at(stall, wake)
--- a/petrelhall/gateway/handover.py
+++ b/petrelhall/gateway/handover.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from petrelhall.control.handover import mark, succeeded
+from petrelhall.net.files import write_whole
 from petrelhall.net.loop import Loop, now_ms
 
 LOOK_MS = 250.0  # between two looks at the mark
@@ -41,16 +42,12 @@
             self.log("a newer process of this gateway is ready: this one ends")
             self.leave()
         elif not self.told and self.ready():
-            self.told = self.write()
+            self.told = True  # once, whether or not it can be written: a read-only place stays read-only
+            self.write()
 
-    def write(self) -> bool:
-        """Leave the mark, whole or not at all; True where it could be (without it upgrades go by SIGTERM)."""
-        part = f"{self.path}.{self.pid}"
+    def write(self) -> None:
+        """Leave the mark, whole or not at all; where it cannot be, upgrades go by SIGTERM."""
         try:
-            with open(part, "wb") as file:
-                file.write(mark(self.pid, self.started))
-            os.replace(part, self.path)
-            return True
+            write_whole(self.path, mark(self.pid, self.started))
         except OSError as error:
             self.log(f"cannot mark this process ready in {self.path}: {os.strerror(error.errno or 0)}")
-            return True  # said once: a read-only place stays read-only
--- a/petrelhall/gateway/mgmt.py
+++ b/petrelhall/gateway/mgmt.py
@@ -17,6 +17,7 @@
 from petrelhall.decide import interface as api
 from petrelhall.http.h1 import Broken, ServerSide
 from petrelhall.net.counts import Counts
+from petrelhall.net.files import write_whole
 from petrelhall.net.loop import Loop, Steps, now_ms
 from petrelhall.net.stream import Address, Stream, bound
 
@@ -129,15 +130,15 @@
         """Take what the file says where it changed since it was last read or written here."""
         try:
             state = os.stat(self.path)
+            seen = state.st_ino, state.st_size, state.st_mtime_ns
+            if seen == self.seen:  # as it was: no need to read it
+                return
             with open(self.path, "rb") as file:
                 data = file.read()
         except FileNotFoundError:
             return
         except OSError as error:
             return self.log(f"servers taken out: cannot read {self.path}: {os.strerror(error.errno or 0)}")
-        seen = state.st_ino, state.st_size, state.st_mtime_ns
-        if seen == self.seen:
-            return
         self.seen = seen
         try:
             marks = decode(data, self.fleet.bans.gateway)
@@ -153,11 +154,8 @@
 
     def keep(self) -> None:
         """Write the file whole and then put it in place: a reader never finds half of it."""
-        part = f"{self.path}.{os.getpid()}"
         try:
-            with open(part, "wb") as file:
-                file.write(self.fleet.bans.encode())
-            os.replace(part, self.path)
+            write_whole(self.path, self.fleet.bans.encode())
             state = os.stat(self.path)
             self.seen = state.st_ino, state.st_size, state.st_mtime_ns
         except OSError as error:  # it still holds in this process
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -100,9 +100,9 @@
             connection.http.ask(*self.wording.outgoing(message, until - now_ms()))
             asked = True
             result = yield from self.answered(connection, until, stopped)
-            if isinstance(result.reply, Flowing) and result.ending is not Ending.OK:
-                return Result(result.ending, result.reach, "answer too large", None, result.report, result.used)
             if isinstance(result.reply, Flowing):
+                if result.ending is not Ending.OK:  # not an answer to pass on: taken for an error, as before
+                    return Result(result.ending, result.reach, "answer too large", None, result.report, result.used)
                 flowing = result.reply
                 flowing.done = lambda whole: self.flowed(connection, whole)
                 handed = True
@@ -126,9 +126,10 @@
                 self.release(connection, keep, cause)
 
     def flowed(self, connection: Connection, whole: bool) -> None:
-        """Take back a connection whose answer was passed on as it came; kept only where it came whole."""
-        if connection.link.state is not State.BUSY:
-            return  # taken back already
+        """Take back a connection whose answer was passed on as it came; kept only where it came whole.
+
+        Told once: by the front that took the answer, or by the look at the next turn where nobody did.
+        """
         if whole:
             self.plan.answered(now_ms(), connection.link)
         self.release(connection, whole and connection.http.again(), "told" if whole else "broken")
@@ -251,7 +252,7 @@
                 # A spoilt answer comes from a box that lives: an error of one request. Told as a reset it
                 # would count as the box's death, and the module would leave it alone and treat it as cold.
                 self.counts.add("servers", "spoilt_answers")
-                if reply.reason == "answer too large":  # the first is told, for on-call: answers are not streamed
+                if reply.reason == "answer too large":  # the first is told, for on-call: over 64 MiB stated
                     if not self.counts.get("servers", "too_large"):
                         self.loop.log(f"an answer of box {link.box.id} was over the bytes kept: taken for an error")
                     self.counts.add("servers", "too_large")
