At an upgrade idle clients stay until they ask again; ready is told after the mark

Design: at a successor's mark the old process listens no more, says Connection: close with each answer, and keeps idle connections until 0.7 s before its last answers are due; then it ends them eight at a time, the longest idle first, write side first, and counts what crossed (connections.end_crossed_request). Not taken: ending the idle at once with a second look for bytes, which narrows the crossing and keeps it; moving them (SCM_RIGHTS), which needs a Unix socket. On SIGTERM without a successor nothing changes: its place is empty until it ends.

Ruled out: the queue of the old listener (fresh connections alone: none in 7,300). At fault: Front.close, which ended all idle clients in one millisecond with 3 s left before the kill; Handover.look, up to 250 ms behind: SIGTERM 50 ms after ready began a plain end first, whose second close() then spun for ever in accept() on the closed listener once the mark was seen (seen while building, ended by fileno() < 0). Now the mark is written before ready is answered, and looked at on SIGTERM. The old process also leaves the peers' datagrams to the new one (a socket connected to itself hears nobody): two sockets on one address had each heard half of the peers.

Tests: four in test_upgrade.py fail without it; each story of the tests now has a TMPDIR of its own, since two runs at once found each other's marks.

--- a/petrelhall/cli/show.py
+++ b/petrelhall/cli/show.py
@@ -23,6 +23,9 @@
         wrong.append(f"{report['unanswered']} requests had no answer in their time")
     if report["failed_on_stale"]:
         wrong.append(f"{report['failed_on_stale']} requests failed on a stale connection")
+    if report["upgrades"] and report["crossed"] + report["unreached"]:
+        wrong.append(f"{report['crossed']} requests met their connection's end, {report['unreached']} a closed door")
+    wrong += [f"upgrade: {reason}" for reason in report["upgrades_wrong"]]
     wrong += [f"gateway {number} ended with exit code {code}"
               for number, code in enumerate(report["exit_codes"]) if code]
     return wrong
@@ -62,8 +65,8 @@
 def summary(report: dict[str, Any]) -> Table:
     """Give the figures of a run as a table."""
     shown = Table(title="summary", show_header=False)
-    for name in ("requests", "final_answers", "served", "refused", "failed", "unanswered", "crossed", "late",
-                 "p50_ms", "p99_ms", "attempts", "stale_attempts", "stale_after_learning_per_1000",
+    for name in ("requests", "final_answers", "served", "refused", "failed", "unanswered", "crossed", "unreached",
+                 "upgrades", "late", "p50_ms", "p99_ms", "attempts", "stale_attempts", "stale_after_learning_per_1000",
                  "failed_on_stale", "opened", "opened_ahead", "retired", "connections_per_1000",
                  "cold_opened_first_s", "cpu_ms_per_request", "memory_mb"):
         shown.add_row(name.replace("_", " "), str(report[name]))
--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -32,6 +32,10 @@
 FLOW_HIGH = 262144  # bytes waiting for a client, past which its server is not read
 LINGER_MS = 400.0  # in which a client may read an answer that came before it had said all
 ASK_TO_LEAVE_MS, CLOSE_MS = 450.0, 800.0  # after being told to end: clients still come for up to 400 ms
+# Where a newer process takes the new connections, idle ones stay until so long before the last answers are due:
+# whoever asks again by then hears with its answer that the connection ends, and no end crosses a request.
+LAST_ASK_MS = 700.0
+PART_MS = 5.0  # between two lots of idle connections that are ended, the longest idle first
 # After SIGTERM an upgrade's old process is killed once the longest deadline (3 s at most) and 0.7 s have passed:
 # what is taken after being told to end must have its answer before then, with time to write it.
 KILL_CAP_MS, KILL_AFTER_MS, WRITE_MS = 3000.0, 700.0, 250.0
@@ -73,7 +77,9 @@
         self.clients: set[Client] = set()
         self.names: set[bytes] = set()  # of the requests in hand
         self.leaving = False  # clients are asked to leave with their next answer
-        self.closing = False  # idle clients are closed
+        self.closing = False  # the listener is closed, or closes as soon as all that it holds is taken
+        self.parting = False  # idle clients are closed
+        self.succeeded = False  # a newer process takes the new connections
         self.end_by = float("inf")  # Unix ms by which what is taken must be answered
         self.on_empty: Callable[[], None] = lambda: None
         self.listener = bound(address)
@@ -115,6 +121,8 @@
         except BlockingIOError:
             return False
         except OSError as error:
+            if self.listener.fileno() < 0:  # closed: nothing can come any more
+                return False
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                 self.counts.add("connections", "no_descriptor")
                 self.starved = True
@@ -178,6 +186,8 @@
         """Take one request and answer it; False ends the connection."""
         asked = yield from self.asked(client)
         if asked is None:
+            if self.leaving and not client.gone:
+                yield from self.part(client)
             return False
         client.busy = True
         answer: Answer | Broken | None
@@ -227,7 +237,7 @@
                 if client.answered:
                     client.until = now + WHOLE_MS
             earned = (client.stream.received - client.counted) * MS_PER_BYTE if begun else 0.0
-            if now >= client.until + earned or (self.closing and not begun):
+            if now >= client.until + earned or (self.parting and not begun):
                 if begun:
                     return Broken(408, "request did not come whole")
                 # What the kernel already holds has been taken: it is answered before the connection ends.
@@ -300,23 +310,57 @@
             yield
         timer.cancel()
 
+    def part(self, client: Client) -> Steps[None]:
+        """End an idle connection of a process that leaves, and count the request that the end has crossed."""
+        client.busy, came = True, client.stream.received
+        yield from self.linger(client)
+        if client.stream.received > came:
+            self.counts.add("connections", "end_crossed_request")
+
     # The end
 
+    def hand_over(self) -> None:
+        """A newer process takes the new connections: listen no more, and ask clients to leave with each answer.
+
+        Who is idle stays, for as long as it is known to be safe: ended at once, some ends would cross a request.
+        """
+        self.leaving = self.succeeded = True
+        self.close()
+
     def stop(self, longest_ms: float) -> None:
         """Begin the end: serve on for as long as clients may still come, then end what is idle.
 
         ``longest_ms`` is the longest deadline of any class: with it the time of a kill is known.
         """
         self.end_by = now_ms() + min(longest_ms, KILL_CAP_MS) + KILL_AFTER_MS - WRITE_MS
-        self.loop.after(ASK_TO_LEAVE_MS, self.ask_to_leave)
-        self.loop.after(CLOSE_MS, self.close)
+        if self.succeeded:
+            self.loop.at(self.end_by - LAST_ASK_MS, self.part_some)
+        else:
+            self.loop.after(ASK_TO_LEAVE_MS, self.ask_to_leave)
+            self.loop.after(CLOSE_MS, self.part_all)
 
     def ask_to_leave(self) -> None:
         """Tell clients with their next answer that it is the last."""
         self.leaving = True
 
+    def part_all(self) -> None:
+        """Listen no more, and end the idle connections at once."""
+        self.parting = True
+        self.close()
+        for client in list(self.clients):
+            client.stream.notify()
+
+    def part_some(self) -> None:
+        """End a few idle connections, the longest idle first, and more soon: each is looked at right before."""
+        idle = sorted((client for client in self.clients if not client.busy), key=lambda client: client.since)
+        for client in idle[:ROOM]:
+            client.until = 0.0
+            client.stream.notify()
+        if idle:
+            self.loop.after(PART_MS, self.part_some)
+
     def close(self) -> None:
-        """Take the connections that the kernel holds, listen no more, and end the idle ones."""
+        """Take the connections that the kernel holds, and listen no more; again, it changes nothing."""
         self.closing, self.starved = True, False
         self.accept_less()
         while self.accept():
@@ -325,7 +369,5 @@
             self.loop.after(PAUSE_MS, self.close)
         else:
             self.listener.close()
-        for client in list(self.clients):
-            client.stream.notify()
         if not self.clients and not self.starved:
             self.on_empty()
--- a/petrelhall/gateway/handover.py
+++ b/petrelhall/gateway/handover.py
@@ -29,9 +29,14 @@
 
     def look(self) -> None:
         """Say that this process is ready, once; then watch for a newer one's word."""
+        if not self.gone:
+            self.loop.after(LOOK_MS, self.look)
+            self.look_now()
+
+    def look_now(self) -> None:
+        """Look at once: told to end, a process must know whether that is an upgrade."""
         if self.gone:
             return
-        self.loop.after(LOOK_MS, self.look)
         try:  # read before writing: a newer process may have spoken before this one was ever ready
             with open(self.path, "rb") as file:
                 data = file.read()
@@ -39,14 +44,19 @@
             data = b""
         if data and succeeded(data, self.pid, self.started):
             self.gone = True
-            self.log("a newer process of this gateway is ready: this one ends")
+            self.log("a newer process of this gateway is ready: this one ends with its last client")
             self.leave()
-        elif not self.told and self.ready():
-            self.told = True  # once, whether or not it can be written: a read-only place stays read-only
-            self.write()
+        elif self.ready():
+            self.say()
+
+    def say(self) -> None:
+        """Leave the mark, whole or not at all, once; where it cannot be written, upgrades go by SIGTERM.
 
-    def write(self) -> None:
-        """Leave the mark, whole or not at all; where it cannot be, upgrades go by SIGTERM."""
+        It stands before anyone is told that this process is ready: SIGTERM may reach the old one at once.
+        """
+        if self.told:
+            return
+        self.told = True  # whether or not it can be written: a read-only place stays read-only
         try:
             write_whole(self.path, mark(self.pid, self.started))
         except OSError as error:
--- a/petrelhall/gateway/peers.py
+++ b/petrelhall/gateway/peers.py
@@ -26,6 +26,17 @@
         self.sock = bound(own, socket.SOCK_DGRAM)
         loop.register(self.sock.fileno(), select.EPOLLIN, self.on_ready)
 
+    def only_speak(self) -> None:
+        """Leave what others say to a newer process on the same address; what this one says is still sent.
+
+        Two sockets on one address each get what some of the peers say. One that is connected gets nothing but
+        what comes from there: to its own address, nothing.
+        """
+        try:
+            self.sock.connect(self.sock.getsockname())
+        except OSError:  # it goes on hearing some of them until this process ends
+            self.counts.add("peers", "not_left")
+
     def send(self, content: bytes, to: tuple[int, ...] = ()) -> None:
         """Tell those of these numbers, or all others; a datagram that cannot go now is lost, as any may be."""
         if len(content) > MOST:  # one byte more would break a rule of the platform
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -47,7 +47,7 @@
     def __init__(self, config: Config, log: Log, operator: File, operator_path: str = "") -> None:
         self.config, self.log, self.operator, self.operator_path = config, log, operator, operator_path
         self.loop, self.counts, self.fleet = Loop(log), Counts(), Fleet(config.areas)
-        self.stopping = False
+        self.stopping = self.succeeded = False  # told to end; a newer process has taken over
         self.counter: CounterClient | None = None
         self.mind_signals()  # before anyone can connect: unminded, any of them ends the program at once
         settings = config.settings
@@ -73,14 +73,20 @@
         self.front.on_empty = self.loop.stop
         self.mgmt: Management | None = None
         if config.mgmt is not None:
-            self.mgmt = Management(self.loop, config.mgmt, self.fleet, self.ready, self.dispatcher.tell,
+            self.mgmt = Management(self.loop, config.mgmt, self.fleet, self.say_ready, self.dispatcher.tell,
                                    self.counts, log.write, config.name)
             self.dispatcher.tell(self.fleet.relabel())  # servers that the operators took out before this start
-        self.handover = Handover(self.loop, config.name, self.ready, self.begin_end, log.write)
+        self.handover = Handover(self.loop, config.name, self.ready, self.hand_over, log.write)
 
     def ready(self) -> bool:
         """Tell whether this process takes clients: it listens, is not ending, and knows servers to send to."""
-        return not self.stopping and not self.front.closing and bool(self.fleet.addresses)
+        return not (self.stopping or self.succeeded or self.front.closing) and bool(self.fleet.addresses)
+
+    def say_ready(self) -> bool:
+        """Tell operators whether this process takes clients; the process that it replaces hears of it first."""
+        if self.ready():
+            self.handover.look_now()
+        return self.ready()
 
     def join_others(self) -> None:
         """Open the ways to the other gateways that the configuration names."""
@@ -178,9 +184,17 @@
             else:
                 self.begin_end()
 
+    def hand_over(self) -> None:
+        """A newer process of this gateway is ready: what is new is its; this one ends with its last client."""
+        self.succeeded = True
+        if self.peers is not None:
+            self.peers.only_speak()
+        self.front.hand_over()
+
     def begin_end(self) -> None:
         """Serve on while clients may still come, answer what was taken, and stop; once only."""
         if not self.stopping:
+            self.handover.look_now()  # a newer process may have spoken since the last look
             self.stopping = True
             longest = max(kind.deadline_ms for kind in self.config.settings.classes)
             self.front.stop(longest)
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -56,7 +56,9 @@
             return self.watch()
         try:
             if self.unwanted:
-                if not self.sock.recv_into(SINK, 0, socket.MSG_TRUNC):
+                dropped = self.sock.recv_into(SINK, 0, socket.MSG_TRUNC)
+                self.received += dropped
+                if not dropped:
                     self.end(0)
                 return
             data = self.sock.recv(CHUNK)
--- a/petrelhall/standins/crowd.py
+++ b/petrelhall/standins/crowd.py
@@ -25,6 +25,8 @@
     districts: int = 200
     keyed_share: float = 0.2
     deadline_ms: int = 1500
+    paced: int = 0  # clients besides, each on a connection of its own, that pause between two requests
+    pause_s: tuple[float, float] = (0.05, 0.6)
 
 
 @dataclass(slots=True)
@@ -45,6 +47,7 @@
         self.transport: asyncio.Transport | None = None
         self.asked: Asked | None = None
         self.fresh = True  # nothing was asked on it yet
+        self.over: asyncio.Future[None] | None = None  # of a paced client: its request has its end
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin."""
@@ -57,6 +60,12 @@
         asked, self.asked = self.asked, None
         if asked is not None:
             self.crowd.cut(self, asked)
+        self.settle()
+
+    def settle(self) -> None:
+        """Let a paced client go on."""
+        if self.over is not None and not self.over.done():
+            self.over.set_result(None)
 
     def ask(self, asked: Asked, data: bytes) -> None:
         """Send a request."""
@@ -86,7 +95,9 @@
             self.transport = None
         else:
             self.fresh = False
-            self.crowd.idle[self.gateway].append(self)
+            if self.over is None:
+                self.crowd.idle[self.gateway].append(self)
+        self.settle()
 
 
 class Crowd:
@@ -105,7 +116,7 @@
     async def run(self, seconds: float) -> None:
         """Ask for so many seconds, then wait until every request has its answer or its time is up."""
         loop, start = asyncio.get_running_loop(), time.monotonic()
-        due, tasks = start, set()
+        due, tasks = start, {loop.create_task(self.pace(start + seconds)) for _ in range(self.demand.paced)}
         while due < start + seconds:
             due += self.random.expovariate(self.demand.rate)
             pause = due - time.monotonic()
@@ -122,6 +133,38 @@
 
     async def one(self) -> None:
         """Ask once."""
+        await self.send(*self.word())
+        if self.asked % 64 == 0:
+            self.expire(time.monotonic())
+
+    async def pace(self, until: float) -> None:
+        """Ask again and again on one connection, with pauses; one that was seen to end is opened anew."""
+        loop, client = asyncio.get_running_loop(), None
+        gateway = self.random.randrange(len(self.gateways))
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.uniform(*self.demand.pause_s))
+            asked, data = self.word()
+            if client is None or client.transport is None or client.transport.is_closing():
+                client = await self.connect(gateway)
+                if client is None:
+                    self.done(asked, "unreached")
+                    continue
+            client.over = loop.create_future()
+            client.ask(asked, data)
+            await client.over
+
+    async def connect(self, gateway: int) -> Client | None:
+        """Open a connection; None where nobody takes it."""
+        loop = asyncio.get_running_loop()
+        try:
+            _, client = await loop.create_connection(lambda: Client(self, gateway), *self.gateways[gateway])
+        except OSError:
+            return None
+        self.made += 1
+        return client if client.transport is not None else None
+
+    def word(self) -> tuple[Asked, bytes]:
+        """Draw a request, and word it."""
         number = self.asked
         self.asked += 1
         district = self.random.randrange(self.demand.districts)
@@ -139,9 +182,7 @@
         ]
         if keyed:
             head += [f"Idempotency-Key: {number:032x}", f"Content-Length: {len(body)}"]
-        await self.send(asked, "\r\n".join(head).encode() + b"\r\n\r\n" + body)
-        if number % 64 == 0:
-            self.expire(now)
+        return asked, "\r\n".join(head).encode() + b"\r\n\r\n" + body
 
     async def send(self, asked: Asked, data: bytes) -> None:
         """Send a request on an idle connection of some gateway, or on a new one."""
@@ -151,16 +192,10 @@
             client = self.idle[gateway].pop()
             if client.transport is not None and not client.transport.is_closing():
                 return client.ask(asked, data)
-        try:
-            loop = asyncio.get_running_loop()
-            _, client = await loop.create_connection(lambda: Client(self, gateway), *self.gateways[gateway])
-        except OSError:
-            self.done(asked, "unreached")  # nobody took it: not the service's to answer
-            return
-        self.made += 1
-        if client.transport is None:
-            return self.done(asked, "unreached")
-        client.ask(asked, data)
+        fresh = await self.connect(gateway)
+        if fresh is None:
+            return self.done(asked, "unreached")  # nobody took it: not the service's to answer
+        fresh.ask(asked, data)
 
     def cut(self, client: Client, asked: Asked) -> None:
         """Take note of a connection that ended under its request."""
--- a/petrelhall/standins/world.py
+++ b/petrelhall/standins/world.py
@@ -25,6 +25,7 @@
 from petrelhall.standins.wire import text
 
 READY_S, END_S = 10.0, 8.0
+TOLD_S, KILL_S = 0.05, 3.0 + 0.7  # SIGTERM after the new process is ready; SIGKILL after that
 LEARN_S = 30.0  # after which stale attempts count as those of a gateway that had time to learn
 LATE_S = 0.5  # by which discovery tells late of what happens to boxes
 TICKS_S = os.sysconf("SC_CLK_TCK")
@@ -46,6 +47,7 @@
     program: str = ""  # folder of the checkout whose gateway runs; this one where empty
     sockets: int = 1024
     kinds: tuple[str, ...] = ("m1",)  # what discovery says of the boxes, in turn
+    upgrades: int = 0  # of gateways in turn, spread over the run: a second process starts beside the first
 
 
 def settings(gateways: int, position: int, deadline_ms: float) -> dict[str, Any]:
@@ -81,7 +83,11 @@
         with open(self.path, "w") as file:
             json.dump(config, file)
         self.command = [sys.executable, "-m", "petrelhall", *(["--operator", operator] if operator else [])]
-        self.environment = {**os.environ, "EDGE_CONFIG": self.path}
+        # A process of an upgrade finds what the one before left there.
+        scratch = os.path.join(folder, f"n{number}")
+        os.makedirs(scratch, exist_ok=True)
+        self.environment = {**os.environ, "EDGE_CONFIG": self.path, "TMPDIR": scratch}
+        self.mgmt = ""  # where its newest process takes operators' calls
         self.folder = os.path.abspath(program or os.getcwd())
         if program:
             self.environment["PYTHONPATH"] = self.folder
@@ -92,9 +98,31 @@
 
     def start(self) -> None:
         """Start it."""
+        self.mgmt = text(free_port())
         with open(self.log_path, "ab") as log:
-            self.process = subprocess.Popen(self.command, env=self.environment, cwd=self.folder, stderr=log,
-                                            stdout=subprocess.DEVNULL)
+            self.process = subprocess.Popen(self.command, env={**self.environment, "EDGE_MGMT": self.mgmt},
+                                            cwd=self.folder, stderr=log, stdout=subprocess.DEVNULL)
+
+    async def upgrade(self) -> str:
+        """Start another process beside this one, and end this one once that is ready; tell what went wrong."""
+        old = self.process
+        assert old is not None
+        self.start()
+        host, _, port = self.mgmt.rpartition(":")
+        try:
+            await ready((host, int(port)), "/control/ready")
+        except TimeoutError as error:
+            return str(error)
+        await asyncio.sleep(TOLD_S)
+        if old.poll() is None:
+            old.send_signal(signal.SIGTERM)
+        try:
+            code = await asyncio.to_thread(old.wait, KILL_S)
+        except subprocess.TimeoutExpired:
+            old.kill()
+            await asyncio.to_thread(old.wait)
+            return "the old process did not end in its time"
+        return f"the old process ended with {code}" if code else ""
 
     def measure(self) -> None:
         """Read CPU and memory so far."""
@@ -159,6 +187,7 @@
         self.began = 0.0
         self.stale_early = self.attempts_early = 0
         self.made = 0
+        self.upgrades: list[str] = []  # what went wrong at each, empty where nothing did
 
     # Putting together
 
@@ -219,7 +248,7 @@
                 await self.start(folder)
                 assert self.crowd is not None
                 self.began = time.monotonic()
-                others = [asyncio.create_task(self.play()), asyncio.create_task(self.watch())]
+                others = [asyncio.create_task(work) for work in (self.play(), self.watch(), self.upgrade())]
                 await self.crowd.run(self.setup.seconds)
                 for task in others:
                     task.cancel()
@@ -249,6 +278,13 @@
                     if number < len(self.boxes):
                         self.strike(fault, number)
 
+    async def upgrade(self) -> None:
+        """Upgrade the gateways in turn, spread over the run."""
+        for number in range(self.setup.upgrades):
+            pause = self.began + self.setup.seconds * (number + 0.5) / self.setup.upgrades - time.monotonic()
+            await asyncio.sleep(max(0.0, pause))
+            self.upgrades.append(await self.gateways[number % len(self.gateways)].upgrade())
+
     def strike(self, fault: Fault, number: int) -> None:
         """Have one thing happen to one box."""
         box = self.boxes[number]
@@ -335,6 +371,7 @@
             **crowd, "attempts": attempts,
             **{name: seen.get(name, 0) for name in ("served", "refused", "failed", "unanswered", "lost", "crossed",
                                                     "unreached", "spoilt", "late", "keys_run_twice")},
+            "upgrades": len(self.upgrades), "upgrades_wrong": [wrong for wrong in self.upgrades if wrong],
             "broken": seen["broken"], "examples": seen["examples"], "exit_codes": codes,
             "stale_after_learning_per_1000": round(
                 1000.0 * (seen.get("stale_attempts", 0) - self.stale_early) / max(1, later), 3),
@@ -371,13 +408,13 @@
         return found
 
 
-async def ready(address: tuple[str, int]) -> None:
+async def ready(address: tuple[str, int], path: str = "/healthz") -> None:
     """Wait until a gateway says that it is ready (TimeoutError where it does not)."""
     until = time.monotonic() + READY_S
     while time.monotonic() < until:
         try:
             reader, writer = await asyncio.open_connection(*address)
-            writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
             status = await asyncio.wait_for(reader.readline(), 1.0)
             writer.close()
             if b" 200 " in status:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -14,6 +14,7 @@
 import threading
 import time
 import unittest
+import unittest.mock
 from collections.abc import Iterator
 from typing import Any
 
@@ -87,6 +88,9 @@
     def setUp(self) -> None:
         self.stack = contextlib.ExitStack()
         self.addCleanup(self.stack.close)
+        # Of its own: gateways of one name find each other's words there, those of two test runs must not.
+        scratch = self.stack.enter_context(tempfile.TemporaryDirectory())
+        self.stack.enter_context(unittest.mock.patch.dict(os.environ, {"TMPDIR": scratch}))
 
     def listener(self) -> socket.socket:
         return self.stack.enter_context(listen())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
-import tempfile
 import time
 import unittest
-import unittest.mock
 
 from petrelhall.control.handover import mark, succeeded
-from tests.peers import PATIENCE_S, Story, ask, read_message, reply
+from petrelhall.decide import interface as api
+from petrelhall.gateway.peers import Peers
+from petrelhall.net.counts import Counts
+from petrelhall.net.loop import Loop
+from tests.peers import PATIENCE_S, Story, ask, listen, read_message, reply
 
 
 class Marks(unittest.TestCase):
@@ -26,14 +30,41 @@
             self.assertFalse(succeeded(spoilt, 10, 1000.0), spoilt)
 
 
+class Speakers(unittest.TestCase):
+    """Two processes of a gateway on one address for what peers say."""
+
+    def test_a_process_that_only_speaks_leaves_all_datagrams_to_the_newer_one(self) -> None:
+        got: dict[str, int] = {"old": 0, "new": 0}
+        loop = Loop(print)
+        senders = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(32)]
+        for sender in senders:
+            sender.bind(("127.0.0.1", 0))
+            self.addCleanup(sender.close)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+            free.bind(("127.0.0.1", 0))
+            own = free.getsockname()
+        everyone = senders[0].getsockname()
+        peers = []
+        for name in got:
+            def heard(message: api.PeerMessage, name: str = name) -> None:
+                got[name] += 1
+            peers.append(Peers(loop, own, tuple(s.getsockname() for s in senders), everyone, 99, heard, Counts()))
+            self.addCleanup(peers[-1].sock.close)
+        peers[0].only_speak()
+        for sender in senders:
+            sender.sendto(b"x", own)
+        until = time.monotonic() + PATIENCE_S
+        while sum(got.values()) < len(senders) and time.monotonic() < until:
+            loop.turn()
+        self.assertEqual(got, {"old": 0, "new": len(senders)})
+        peers[0].send(b"still told")
+        senders[0].settimeout(PATIENCE_S)
+        self.assertEqual(senders[0].recvfrom(64), (b"still told", own))
+
+
 class Upgrade(Story):
     """The old process serves until the new one is ready, or it is told to end; the new one goes on."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        folder = self.stack.enter_context(tempfile.TemporaryDirectory())
-        self.stack.enter_context(unittest.mock.patch.dict(os.environ, {"TMPDIR": folder}))
-
     def test_the_old_process_leaves_by_itself_once_the_new_one_is_ready(self) -> None:
         server = self.listener()
         first = self.start(server)
@@ -52,6 +83,68 @@
         at_server.sendall(reply(b"new"))
         self.assertTrue(read_message(late).endswith(b"new"))
 
+    def second(self, **environment: str) -> subprocess.Popen[str]:
+        """Start another process of the same gateway beside the first."""
+        program = subprocess.Popen([sys.executable, "-m", "petrelhall"], text=True, stderr=subprocess.PIPE,
+                                   env={**os.environ, "EDGE_CONFIG": self.path, **environment})
+        self.stack.callback(lambda: program.poll() is None and program.kill())
+        return program
+
+    def serve(self, at_server: socket.socket, client: socket.socket, body: bytes) -> bytes:
+        """Answer the next request on a server's connection, and give what the client reads."""
+        read_message(at_server)
+        at_server.sendall(reply(body))
+        return read_message(client)
+
+    def test_an_idle_client_keeps_its_connection_over_an_upgrade_until_it_asks_again(self) -> None:
+        server = self.listener()
+        first = self.start(server)
+        idle = self.client(ask(1))
+        at_server = self.accept(server)
+        self.assertTrue(self.serve(at_server, idle, b"one").endswith(b"one"))
+        second = self.second()
+        self.heard("a newer process of this gateway is ready")
+        first.send_signal(signal.SIGTERM)
+        time.sleep(1.0)  # past the time at which a process without a successor ends what is idle
+        idle.sendall(ask(2))
+        answer = self.serve(at_server, idle, b"two")
+        self.assertTrue(answer.endswith(b"two"))
+        self.assertIn(b"connection: close", answer.lower())  # and it ends with that answer
+        self.assertEqual(first.wait(PATIENCE_S), 0)
+        self.assertIsNone(second.poll())
+        self.program = second
+
+    def test_an_idle_client_that_never_asks_again_does_not_hold_the_old_process_past_the_kill(self) -> None:
+        server = self.listener()
+        first = self.start(server)
+        idle = self.client(ask(1))
+        self.serve(self.accept(server), idle, b"one")
+        self.second()
+        self.heard("a newer process of this gateway is ready")
+        began = time.monotonic()
+        first.send_signal(signal.SIGTERM)
+        self.assertEqual(first.wait(PATIENCE_S), 0)
+        self.assertLess(time.monotonic() - began, 3.0 + 0.7)
+        self.assertEqual(idle.recv(1), b"")
+
+    def test_sigterm_right_after_ready_finds_the_mark_that_stands_before_it(self) -> None:
+        server = self.listener()
+        first = self.start(server)
+        client = self.client(ask(1))
+        self.serve(self.accept(server), client, b"one")
+        with listen() as free:
+            where = free.getsockname()
+        self.second(EDGE_MGMT=f"{where[0]}:{where[1]}")
+        until = time.monotonic() + PATIENCE_S
+        answer = b""
+        while b" 200 " not in answer and time.monotonic() < until:
+            with contextlib.suppress(ConnectionError), socket.create_connection(where, PATIENCE_S) as call:
+                call.sendall(b"GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                answer = read_message(call)
+        first.send_signal(signal.SIGTERM)
+        _, errors = first.communicate(timeout=PATIENCE_S)
+        self.assertIn("a newer process of this gateway is ready", errors)
+
     def test_a_second_process_on_the_same_addresses_starts_and_serves_after_the_first_leaves(self) -> None:
         server = self.listener()
         first = self.start(server)
