Clients' bodies over 64 KiB are kept while there is room and passed on beyond

Design: a body up to 1 MiB is kept whole while the process has room for it (a share of its memory limit), so that it can be tried again and goes to a server at one stroke; beyond that it is passed on as it comes, the client read only as fast as the server reads, each flow holding less the more there are. Not taken: passing all on from 64 KiB, which would hold a server's place for as long as a client at 64 kB/s sends and could never try again; spilling to $TMPDIR, which counts as memory. A body that was passed on cannot go again: the next attempt that the module asks for ends at once as moot, so the module itself words the end by its own rules. The deadline and the server's latency count from the last byte.

A client that still sends is now heard out at the pace asked of it, then told the end. At fault beside: Stream.on_ready left a descriptor whose peer had reset with a full buffer in the poll for ever (HUP is told whether it is watched for or not), a spin of the whole loop until its reader came.

--- a/petrelhall/gateway/config.py
+++ b/petrelhall/gateway/config.py
@@ -28,6 +28,7 @@
     mgmt: Address | None  # where operators call; absent on older days
     seed: int
     sockets: int
+    memory_mb: float
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -80,6 +81,7 @@
         mgmt=optional_address(top, "mgmt"),
         seed=seed(top),
         sockets=int(top.section("limits").number("sockets", 1024.0)),
+        memory_mb=top.section("limits").number("memory_mb", 128.0),
         peer_listen=optional_address(top, "peer_listen"),
         peers=tuple(to_address(f"config.peers[{i}]", text) for i, text in enumerate(top.texts("peers"))),
         peers_all=optional_address(top, "peers_all"),
--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -11,10 +11,11 @@
 
 from petrelhall.gateway.platform import READY
 from petrelhall.gateway.requests import Answer, Desk, Request, Served
-from petrelhall.http.h1 import Broken, Flowing, Headers, Message, ServerSide
+from petrelhall.http.h1 import MOST_INFLOWING, Broken, Flowing, Headers, Inflow, Message, ServerSide
+from petrelhall.http.room import Room
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, describe, now_ms
-from petrelhall.net.stream import Address, Stream, bound
+from petrelhall.net.stream import MOST_UNREAD, Address, Stream, bound
 
 BACKLOG = 1024
 AT_ONCE = 64  # connections taken in one turn
@@ -29,7 +30,6 @@
 ROOM = 8  # connections ended at once where there are too many
 SEND_MS = 10000.0  # in which a client must have read its answer
 STALL_MS = 4000.0  # in which a flowing answer must move on, from the server and to the client
-FLOW_HIGH = 262144  # bytes waiting for a client, past which its server is not read
 LINGER_MS = 400.0  # in which a client may read an answer that came before it had said all
 ASK_TO_LEAVE_MS, CLOSE_MS = 450.0, 800.0  # after being told to end: clients still come for up to 400 ms
 # Where a newer process takes the new connections, idle ones stay until so long before the last answers are due:
@@ -54,12 +54,21 @@
 class Client:
     """One client's connection."""
 
-    def __init__(self, stream: Stream) -> None:
-        self.stream, self.http = stream, ServerSide(stream)
+    def __init__(self, stream: Stream, room: Room, vet: Callable[[Message], object]) -> None:
+        self.stream, self.http = stream, ServerSide(stream, room, vet)
         self.busy = self.answered = self.begun = False  # one request in hand; any answered; the next begun
         self.since = now_ms()  # when it connected, or was last answered
         self.until = self.since + FIRST_MS  # when it is over, unless a request is whole by then
         self.counted = 0  # bytes of the stream that came before this request
+        self.come, self.moved = 0, self.since  # bytes of it seen to have come, and when the last of them
+
+    def overdue(self) -> bool:
+        """Tell whether the time for a request that has begun is over: each byte earns some, silence none."""
+        now, received = now_ms(), self.stream.received
+        if received != self.come:
+            self.come, self.moved = received, now
+        earned = self.until + (received - self.counted) * MS_PER_BYTE
+        return now >= min(earned, max(self.until, self.moved + STALL_MS))
 
     @property
     def gone(self) -> bool:
@@ -71,7 +80,8 @@
     """The listener and its clients."""
 
     def __init__(self, loop: Loop, address: Address, wording: Wording, desk: Desk, ready: Callable[[], bool],
-                 counts: Counts, log: Callable[[str], None], most: int) -> None:
+                 counts: Counts, log: Callable[[str], None], most: int, room: Room) -> None:
+        self.room = room  # for bodies and large answers
         self.loop, self.wording, self.desk, self.ready = loop, wording, desk, ready
         self.counts, self.log, self.most = counts, log, most
         self.clients: set[Client] = set()
@@ -133,7 +143,7 @@
         self.counts.add("connections", "from_clients")
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = Client(Stream(self.loop, sock, lambda: None))
+        client = Client(Stream(self.loop, sock, lambda: None), self.room, self.wording.request)
         self.clients.add(client)
         client.stream.notify = self.loop.spawn(self.converse(client)).wake
         return True
@@ -178,6 +188,7 @@
             client.http.answer(500, [], b"internal error\n", True)
         finally:
             client.stream.close()
+            client.http.free()
             self.clients.discard(client)
             if self.closing and not self.clients and not self.starved:
                 self.on_empty()
@@ -206,21 +217,31 @@
                 self.counts.add("answered", f"bad_{request.status}")
                 answer = request
             else:
+                rest = asked.rest if isinstance(asked, Message) else None
                 self.names.add(request.name)
+                if rest is not None:
+                    self.receive(client, rest)
                 try:
                     answer = yield from self.desk.serve(request, client)
                 finally:
                     self.names.discard(request.name)
+                    if rest is not None:
+                        self.room.flows -= 1
+                        client.stream.keep = MOST_UNREAD
                 if answer is None:
                     return False
-            last = self.leaving or isinstance(asked, Broken)
+                if rest is not None and rest.broken is not None:  # its own doing, whatever became of the attempt
+                    self.counts.add("answered", f"bad_{rest.broken.status}")
+                    answer = asked = rest.broken
+            last = self.leaving or isinstance(asked, Broken) or client.http.receiving
             if isinstance(answer, Served) and isinstance(answer.reply, Flowing):
                 keep = yield from self.flow(client, answer.reply, last)
             else:
                 keep = client.http.answer(*self.wording.answer(answer), last)
+        client.http.free()
         yield from self.sent(client)
         if not keep and not (isinstance(asked, Broken) and asked.status == 408):  # of that, nothing is unread
-            yield from self.linger(client)
+            yield from self.linger(client, client.http.receiving)
         client.busy, client.answered, client.begun, client.since = False, True, False, now_ms()
         client.until, client.counted = client.since + IDLE_MS, client.stream.received
         return keep and not client.gone
@@ -236,8 +257,7 @@
                 client.begun = True
                 if client.answered:
                     client.until = now + WHOLE_MS
-            earned = (client.stream.received - client.counted) * MS_PER_BYTE if begun else 0.0
-            if now >= client.until + earned or (self.parting and not begun):
+            if client.overdue() if begun else now >= client.until or self.parting:
                 if begun:
                     return Broken(408, "request did not come whole")
                 # What the kernel already holds has been taken: it is answered before the connection ends.
@@ -247,6 +267,13 @@
                 continue
             yield
 
+    def receive(self, client: Client, rest: Inflow) -> None:
+        """Make ready to pass a body on as it comes: little of it is held, and its client must go on sending."""
+        self.counts.add("answered", "bodies_passed_on")
+        self.room.flows += 1
+        client.stream.keep = self.room.each
+        rest.late = client.overdue
+
     def flow(self, client: Client, answer: Flowing, last: bool) -> Steps[bool]:
         """Pass an answer on as it comes, reading the server only as fast as the client reads.
 
@@ -254,8 +281,9 @@
         client cannot be told otherwise that the rest will not come.
         """
         answer.taken = True
+        self.room.flows += 1
         source, wake = answer.source, self.loop.this_task().wake
-        source.stream.notify = wake
+        source.stream.notify, source.stream.keep = wake, self.room.each
         kind = answer.headers.get(b"content-type")
         # Only answers that served are passed on: the status is the server's 200.
         client.http.begin(answer.status, [(b"Content-Type", kind)] if kind else [], answer.length, last)
@@ -271,7 +299,7 @@
                     timer = self.loop.at(stall, wake)
                     if whole:
                         return keep
-                if len(client.stream.outgoing) < FLOW_HIGH:
+                if len(client.stream.outgoing) < self.room.each:
                     got = source.flow()
                     if isinstance(got, Broken):
                         break
@@ -285,6 +313,8 @@
             return False
         finally:
             timer.cancel()
+            self.room.flows -= 1
+            source.stream.keep = MOST_UNREAD
             answer.done(whole)
 
     def sent(self, client: Client) -> Steps[None]:
@@ -300,10 +330,18 @@
             yield
         timer.cancel()
 
-    def linger(self, client: Client) -> Steps[None]:
-        """End our side first: closing on unread bytes would reset the connection and could eat the answer."""
-        client.stream.finish_sending()
+    def linger(self, client: Client, sending: bool = False) -> Steps[None]:
+        """End our side first: closing on unread bytes would reset the connection and could eat the answer.
+
+        A client that is still ``sending`` a body nobody wants any more is heard out, for as long as it keeps up the
+        pace of one that is wanted: many read the answer only then.
+        """
         client.stream.discard()
+        while sending and not client.gone and not client.overdue() and client.come - client.counted < MOST_INFLOWING:
+            timer = self.loop.after(SWEEP_MS, self.loop.this_task().wake)
+            yield
+            timer.cancel()
+        client.stream.finish_sending()
         until = now_ms() + LINGER_MS
         timer = self.loop.at(until, self.loop.this_task().wake)
         while not client.gone and now_ms() < until:
--- a/petrelhall/gateway/platform.py
+++ b/petrelhall/gateway/platform.py
@@ -8,7 +8,7 @@
 from petrelhall.decide import interface as api
 from petrelhall.decide.interface import Ending
 from petrelhall.gateway.requests import Answer, Failed, Refused, Request, Served
-from petrelhall.http.h1 import Broken, Headers, Message, Reply
+from petrelhall.http.h1 import Broken, Headers, Inflow, Message, Reply
 from petrelhall.links.attempt import Verdict
 
 PATH, READY = b"/api", b"/healthz"
@@ -72,7 +72,7 @@
                 raise Refusal("X-Request-Id missing")
             effect = self.settings.classes[index].effect
             safe = effect is api.Effect.REPEATABLE
-            if message.method != (b"GET" if safe else b"POST") or (safe and message.body):
+            if message.method != (b"GET" if safe else b"POST") or (safe and (message.body or message.rest)):
                 raise Refusal("the class asks for another method, or for no body")
             keyed = effect is api.Effect.KEYED
             if keyed and not headers.get(b"idempotency-key"):
@@ -128,6 +128,10 @@
         headers = [*message.headers, (b"X-Deadline", b"%dm" % max(1, int(wait_ms)))]
         return asked.method, asked.target, headers, asked.body
 
+    def rest(self, message: Spoken) -> Inflow | None:
+        """Give the rest of a body that is passed on as it comes, if there is one."""
+        return message.message.rest if isinstance(message, Spoken) else None
+
     def verdict(self, reply: Reply) -> Verdict:
         """Read a server's answer; only its own word that the request did not run is proof of that."""
         report = self.report(reply.headers.get(b"x-load", b""))
@@ -174,8 +178,11 @@
 
 
 def passed_on(message: Message) -> Headers:
-    """Give the headers that go on to a server; a body that came in chunks goes on with its length."""
+    """Give the headers that go on to a server; a body kept whole goes on with its length."""
     headers: Headers = [(name, message.headers[name]) for name in PASSED_ON if name in message.headers]
-    if message.body or b"content-length" in message.headers:
+    if message.rest is not None:
+        length = message.rest.length
+        headers.append((b"Transfer-Encoding", b"chunked") if length is None else (b"Content-Length", b"%d" % length))
+    elif message.body or b"content-length" in message.headers:
         headers.append((b"Content-Length", b"%d" % len(message.body)))
     return headers
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -23,6 +23,7 @@
 from petrelhall.gateway.peers import Peers
 from petrelhall.gateway.platform import Platform
 from petrelhall.gateway.requests import Desk
+from petrelhall.http.room import Room
 from petrelhall.links.plan import Plan
 from petrelhall.links.pool import Pool
 from petrelhall.net.counts import Counts
@@ -58,7 +59,8 @@
         clients = int(CLIENT_SHARE * room)
         plan = Plan(operator.links, room - clients, config.conn_idle_ms, settings.cold_ms, settings.gateways,
                     config.seed)
-        self.pool = Pool(self.loop, self.fleet, platform, self.counts, plan, config.connect_timeout_ms)
+        body_room = Room(config.memory_mb)
+        self.pool = Pool(self.loop, self.fleet, platform, self.counts, plan, config.connect_timeout_ms, body_room)
         desk = Desk(self.loop, self.dispatcher.tell, self.pool, self.counts, settings.max_retry_after_ms)
         self.dispatcher.to_request = desk.give
         self.desk = desk
@@ -69,7 +71,7 @@
         self.shift()
         self.start_list()
         self.front = Front(self.loop, config.listen, platform, desk, lambda: bool(self.fleet.addresses),
-                           self.counts, log, clients)
+                           self.counts, log, clients, body_room)
         self.front.on_empty = self.loop.stop
         self.mgmt: Management | None = None
         if config.mgmt is not None:
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -183,6 +183,7 @@
                 if caller.gone:  # before the attempt's end is told: no further one may follow from it
                     self.tell(api.ClientGone(ticket.id))
                 served = result.ending is Ending.OK
+                started = max(started, result.asked_at)  # a client's slow body is no slowness of the box
                 self.tell(api.Outcome(
                     ticket.id, attempts, order.server, result.ending, now_ms() - started,
                     served or caller.gone, result.used, None, dict(result.report),
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import h11
 
+from petrelhall.http.room import Room
 from petrelhall.net.stream import Stream
 
 MOST_BODY = 65536
+MOST_INFLOWING = (1 << 25) + MOST_BODY  # bytes of a client's body passed on as it comes: the platform's are up to 32 MB
 MOST_FLOWING = 1 << 26  # bytes of an answer passed on as it comes: the platform's are up to 32 MB
 MOST_INTERIM = 8  # answers of 1xx in front of the final one
 Headers = list[tuple[bytes, bytes]]
@@ -27,6 +30,35 @@
     headers: dict[bytes, bytes]
     body: bytes
     repeated: frozenset[bytes] = frozenset()
+    rest: Inflow | None = None  # what follows ``body``, where it is too large to keep
+
+
+class Inflow:
+    """The rest of a client's body that is passed on as it comes; ``length`` of the whole is None for chunks.
+
+    ``spent`` from the first byte that a server was sent: what was passed on is not kept, and cannot go again.
+    ``broken`` tells how it ended where it did not come whole.
+    """
+
+    __slots__ = ("source", "length", "spent", "whole", "broken", "late")
+
+    def __init__(self, source: ServerSide, length: int | None) -> None:
+        self.source, self.length = source, length
+        self.spent = self.whole = False
+        self.broken: Broken | None = None
+        self.late: Callable[[], bool] = lambda: False  # whether the client has run out of time to send
+
+    def flow(self) -> tuple[bytes, bool] | Broken:
+        """Give what more has come, and whether it is all."""
+        if self.broken is None:
+            came = self.source.more_body()
+            if not isinstance(came, Broken):
+                self.whole = came[1]
+                if came[0] or came[1] or not self.late():
+                    return came
+                came = Broken(408, "body did not come whole")
+            self.broken = came
+        return self.broken
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,18 +117,24 @@
 
 
 class ServerSide:
-    """The side that takes requests, one at a time."""
+    """The side that takes requests, one at a time.
 
-    __slots__ = ("stream", "http", "asked", "headers", "body")
+    With ``room``, bodies over MOST_BODY are kept while that has some, and passed on as they come from there.
+    """
 
-    def __init__(self, stream: Stream) -> None:
-        self.stream, self.http = stream, h11.Connection(h11.SERVER)
+    __slots__ = ("stream", "http", "asked", "headers", "body", "room", "vet", "held", "come")
+
+    def __init__(self, stream: Stream, room: Room | None = None,
+                 vet: Callable[[Message], object] = lambda message: None) -> None:
+        self.stream, self.http, self.room = stream, h11.Connection(h11.SERVER), room
+        self.vet = vet  # reads a head before its large body is waited for: a Broken is answered at once
         self.asked: h11.Request | None = None
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
+        self.held = self.come = 0  # bytes of room taken for this body; bytes of it that have come
 
     def request(self) -> Message | Broken | None:
-        """Give the next request once it is whole."""
+        """Give the next request once it is whole, or as much of it as is kept."""
         if self.stream.incoming:
             self.http.receive_data(self.stream.take())
         elif not self.http.trailing_data[0]:
@@ -110,26 +148,92 @@
                 if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                     return None
                 if isinstance(event, h11.Request):
-                    self.asked, self.headers = event, by_name(event)
+                    self.asked, self.headers, self.come = event, by_name(event), 0
                     self.body.clear()
                     if not event.http_version.startswith(b"1."):
                         return Broken(400, "another version of HTTP")
                     if ambiguous(self.headers):  # another request may hide in its body
                         return Broken(400, "both Content-Length and Transfer-Encoding")
                     if (stated_length(self.headers) or 0) > MOST_BODY:
-                        return Broken(413, "body too large")
+                        wrong = self.refused()
+                        if wrong is not None:
+                            return wrong
                 elif isinstance(event, h11.Data):
                     self.body += event.data
-                    if len(self.body) > MOST_BODY:
-                        return Broken(413, "body too large")
+                    self.come += len(event.data)
+                    if self.come > MOST_BODY and not self.keeps():
+                        wrong = self.refused()
+                        return wrong or self.message(Inflow(self, stated_length(self.headers)))
                 elif isinstance(event, h11.EndOfMessage) and self.asked is not None:
-                    asked, self.asked = self.asked, None
-                    twice = len(self.headers) < len(asked.headers)
-                    return Message(asked.method, asked.target, self.headers, bytes(self.body),
-                                   repeated(asked) if twice else frozenset())
+                    return self.message(None)
+        except h11.RemoteProtocolError as error:
+            return Broken(error.error_status_hint, str(error))
+
+    def refused(self) -> Broken | None:
+        """Say why a request with a large body goes no further, as soon as that is known."""
+        if self.room is None or max(self.come, stated_length(self.headers) or 0) > MOST_INFLOWING:
+            return Broken(413, "body too large")
+        wrong = self.vet(self.word(b"-", None))
+        return wrong if isinstance(wrong, Broken) else None
+
+    def keeps(self) -> bool:
+        """Take room for what has come of a body, at once for all of it where its length is stated."""
+        wanted = max(self.come, stated_length(self.headers) or 0) - self.held
+        if self.room is None or (wanted > 0 and not self.room.keep(wanted, self.held)):
+            return False
+        self.held += max(0, wanted)
+        return True
+
+    def free(self) -> None:
+        """Give back the room that a request's body took: it is answered, or its connection has ended."""
+        if self.room is not None and self.held:
+            self.room.give_back(self.held)
+        self.held = 0
+        self.body.clear()
+
+    def message(self, rest: Inflow | None) -> Message:
+        """Give the request that has come, whole or with the rest of its body to follow."""
+        message = self.word(bytes(self.body), rest)
+        self.body.clear()
+        self.asked = None
+        return message
+
+    def word(self, body: bytes, rest: Inflow | None) -> Message:
+        """Put the head that was read and a body together."""
+        asked = self.asked
+        assert asked is not None
+        twice = len(self.headers) < len(asked.headers)
+        return Message(asked.method, asked.target, self.headers, body,
+                       repeated(asked) if twice else frozenset(), rest)
+
+    def more_body(self) -> tuple[bytes, bool] | Broken:
+        """Give what more has come of a body that is passed on, and whether it is all."""
+        if self.stream.incoming:
+            self.http.receive_data(self.stream.take())
+        data = bytearray()
+        try:
+            while True:
+                event = self.http.next_event()
+                if isinstance(event, h11.Data):
+                    data += event.data
+                    self.come += len(event.data)
+                    if self.come > MOST_INFLOWING:
+                        return Broken(413, "body too large")
+                elif isinstance(event, h11.EndOfMessage):
+                    return bytes(data), True
+                elif event is h11.NEED_DATA:
+                    self.encourage()
+                    return bytes(data), False
+                else:
+                    return Broken(400, "body cut off")
         except h11.RemoteProtocolError as error:
             return Broken(error.error_status_hint, str(error))
 
+    @property
+    def receiving(self) -> bool:
+        """Tell whether a body is still coming, in good form so far."""
+        return self.http.their_state is h11.SEND_BODY
+
     def encourage(self) -> None:
         """Let a client go on that waits for leave to send its body."""
         if self.http.they_are_waiting_for_100_continue:
@@ -194,16 +298,27 @@
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
 
-    def ask(self, method: bytes, target: bytes, headers: Headers, body: bytes = b"") -> None:
-        """Write a request. Its headers' names are tokens, its values were read by h11 or are our own numbers."""
+    def ask(self, method: bytes, target: bytes, headers: Headers, body: bytes = b"", more: bool = False) -> None:
+        """Write a request, or its beginning where there is ``more`` of its body to come.
+
+        Its headers' names are tokens, its values were read by h11 or are our own numbers.
+        """
         # In h11's own form they are not checked again, which costs more than writing them does.
         checked = OwnHeaders([(name, name.lower(), value) for name, value in headers])
         data = self.http.send(h11.Request(method=method, target=target, headers=checked)) or b""
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
-        data += self.http.send(END) or b""
+        if not more:
+            data += self.http.send(END) or b""
         self.stream.write(data)
 
+    def ask_more(self, data: bytes, end: bool) -> None:
+        """Write more of a request's body, or its end."""
+        out = self.http.send(h11.Data(data=data)) or b"" if data else b""
+        if end:
+            out += self.http.send(END) or b""
+        self.stream.write(out)
+
     def reply(self, most: int = MOST_BODY) -> Reply | Flowing | Broken | None:
         """Give the answer once it is whole; what comes of half an answer is broken, never served."""
         if self.stream.incoming:
--- a/petrelhall/links/attempt.py
+++ b/petrelhall/links/attempt.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from petrelhall.decide.interface import Ending
-from petrelhall.http.h1 import Headers, Reply
+from petrelhall.http.h1 import Headers, Inflow, Reply
 
 
 class Reach(IntEnum):
@@ -29,6 +29,7 @@
     reply: Any = None
     report: Mapping[str, float] = field(default_factory=dict)
     used: float | None = None
+    asked_at: float = 0.0  # Unix ms of the last byte of a body that was passed on as it came: from then on it ran
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,5 +47,8 @@
     def outgoing(self, message: Any, wait_ms: float) -> tuple[bytes, bytes, Headers, bytes]:
         """Give method, target, headers and body."""
 
+    def rest(self, message: Any) -> Inflow | None:
+        """Give the rest of a body that is passed on as it comes, if the message has one."""
+
     def verdict(self, reply: Reply) -> Verdict:
         """Read an answer."""
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -5,10 +5,12 @@
 import errno
 import re
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from typing import Any, Protocol
 
 from petrelhall.decide.interface import Ending
-from petrelhall.http.h1 import Broken, ClientSide, Flowing, Reply
+from petrelhall.http.h1 import Broken, ClientSide, Flowing, Inflow, Reply
+from petrelhall.http.room import Room
 from petrelhall.links.attempt import Reach, Result, Wording
 from petrelhall.links.plan import End, Link, No, Plan, State, Wait
 from petrelhall.net.counts import Counts
@@ -16,6 +18,8 @@
 from petrelhall.net.stream import Address, connect
 
 TICK_MS = 100.0
+STALL_MS = 4000.0  # in which a box must read some of a body that waits for it
+LOOK_MS = 250.0  # between two looks whether a body still comes
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 KEEP_ALIVE = re.compile(rb"timeout *= *\"?(\d{1,6})", re.ASCII | re.IGNORECASE)
 
@@ -52,7 +56,8 @@
     """Makes attempts at boxes, on the connections that the plan gives."""
 
     def __init__(self, loop: Loop, fleet: Listing, wording: Wording, counts: Counts, plan: Plan,
-                 connect_ms: float) -> None:
+                 connect_ms: float, room: Room | None = None) -> None:
+        self.room = room or Room(0.0)  # for bodies that are passed on
         self.loop, self.fleet, self.wording, self.counts, self.plan = loop, fleet, wording, counts, plan
         self.connect_ms = connect_ms
         self.waiting: dict[str, dict[object, Callable[[], object]]] = {}  # for a connection, by box
@@ -75,6 +80,9 @@
         """
         if now_ms() >= until:
             return Result(Ending.TIMEOUT, Reach.UNWRITTEN, "no time left")
+        rest = self.wording.rest(message)
+        if rest is not None and rest.spent:  # whether it may go again is no question any more: it cannot
+            return Result(Ending.MOOT, Reach.UNWRITTEN, "its body was passed on already")
         connection: Connection | Result | None = None
         link = self.plan.take(now_ms(), server, free)
         if isinstance(link, Link) and not self.plan.closing:
@@ -97,9 +105,20 @@
             # rule on drains counts from the telling, and connecting may have taken a while.
             if not link.box.listed:
                 return Result(Ending.MOOT, Reach.UNWRITTEN, "drained before it was sent")
-            connection.http.ask(*self.wording.outgoing(message, until - now_ms()))
+            connection.http.ask(*self.wording.outgoing(message, until - now_ms()), more=rest is not None)
+            asked_at = 0.0
+            if rest is not None:
+                allowed = until - now_ms()  # counts from the body's last byte
+                failed = yield from self.pour(connection, rest, timers, stopped)
+                if failed is not None:
+                    return failed
+                asked_at = now_ms()
+                until = asked_at + allowed
+                timers.append(self.loop.at(until, stream.notify))
             asked = True
             result = yield from self.answered(connection, until, stopped)
+            if asked_at:
+                result = replace(result, asked_at=asked_at)
             if isinstance(result.reply, Flowing):
                 if result.ending is not Ending.OK:  # not an answer to pass on: taken for an error, as before
                     return Result(result.ending, result.reach, "answer too large", None, result.report, result.used)
@@ -125,6 +144,49 @@
             if not handed:
                 self.release(connection, keep, cause)
 
+    def pour(self, connection: Connection, rest: Inflow, timers: list[Timer],
+             stopped: Callable[[], bool]) -> Steps[Result | None]:
+        """Pass a body on as it comes, reading the client only as fast as the box reads.
+
+        Gives None once it is all written, or the box has answered before; else how the attempt ended. What broke
+        off before its last byte never ran: that tells nothing against a box whose client stopped.
+        """
+        stream, http = connection.http.stream, connection.http
+        rest.spent = True
+        wake = self.loop.this_task().wake
+        stall = now_ms() + STALL_MS
+        waiting = len(stream.outgoing)
+        timer = self.loop.after(LOOK_MS, wake)
+        try:
+            while True:
+                if stream.ended:
+                    return Result(Ending.MOOT, Reach.UNWRITTEN, f"broken under a body ({stream.error})")
+                if stream.incoming:  # it answers before it has read all: that answer counts
+                    return None
+                if stopped():
+                    return Result(Ending.MOOT, Reach.UNWRITTEN, "called off under a body")
+                if len(stream.outgoing) < waiting:
+                    stall = now_ms() + STALL_MS
+                waiting = len(stream.outgoing)
+                if waiting < self.room.each:
+                    came = rest.flow()
+                    if isinstance(came, Broken):
+                        return Result(Ending.MOOT, Reach.UNWRITTEN, came.reason)
+                    if came[0] or came[1]:
+                        http.ask_more(*came)
+                        waiting, stall = len(stream.outgoing), now_ms() + STALL_MS
+                        if came[1]:
+                            return None
+                        continue
+                    stall = now_ms() + STALL_MS  # the client's silence is not the box's: ``rest`` bounds that
+                elif now_ms() >= stall:
+                    return Result(Ending.TIMEOUT, Reach.UNWRITTEN, "the box reads no more of a body")
+                if timer.when <= now_ms():
+                    timer = self.loop.after(LOOK_MS, wake)
+                yield
+        finally:
+            timer.cancel()
+
     def flowed(self, connection: Connection, whole: bool) -> None:
         """Take back a connection whose answer was passed on as it came; kept only where it came whole.
 
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -10,7 +10,8 @@
 from petrelhall.net.loop import Loop
 
 CHUNK = 65536
-MOST_UNREAD = 98304  # bytes kept for a reader that is busy; the kernel holds the rest
+MOST_UNREAD = 98304  # bytes kept for a reader that is busy, unless it says otherwise; the kernel holds the rest
+GONE = select.EPOLLHUP | select.EPOLLERR
 SINK = bytearray(1 << 20)  # where what nobody wants would go: the kernel drops it and writes nothing here
 IN = select.EPOLLIN | select.EPOLLRDHUP
 
@@ -23,7 +24,7 @@
     """One connection. ``notify`` is called whenever something about it has changed."""
 
     __slots__ = ("loop", "sock", "fd", "notify", "connecting", "ended", "error", "incoming", "outgoing",
-                 "mask", "unwanted", "received")
+                 "mask", "unwanted", "received", "keep")
 
     def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object],
                  connecting: bool = False) -> None:
@@ -31,6 +32,7 @@
         self.connecting, self.ended, self.error = connecting, False, 0
         self.incoming, self.outgoing, self.unwanted = bytearray(), bytearray(), False
         self.received = 0  # bytes taken in, all told
+        self.keep = MOST_UNREAD
         self.mask = select.EPOLLOUT if connecting else IN
         loop.register(self.fd, self.mask, self.on_ready)
 
@@ -46,13 +48,16 @@
         else:
             if mask & select.EPOLLOUT:
                 self.flush()
-            if mask & ~select.EPOLLOUT:
+            if mask & GONE and len(self.incoming) > self.keep:
+                # Told whether it is watched for or not: left so, the loop would do nothing else until it is read.
+                self.end(self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or errno.ECONNRESET)
+            elif mask & ~select.EPOLLOUT:
                 self.receive()
         self.notify()
 
     def receive(self) -> None:
         """Read what has come, once."""
-        if self.ended or self.connecting or len(self.incoming) > MOST_UNREAD:
+        if self.ended or self.connecting or len(self.incoming) > self.keep:
             return self.watch()
         try:
             if self.unwanted:
@@ -61,7 +66,7 @@
                 if not dropped:
                     self.end(0)
                 return
-            data = self.sock.recv(CHUNK)
+            data = self.sock.recv(min(CHUNK, self.keep))
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -70,7 +75,7 @@
             return self.end(0)
         self.received += len(data)
         self.incoming += data
-        if len(self.incoming) > MOST_UNREAD:
+        if len(self.incoming) > self.keep:
             self.watch()
 
     def take(self) -> bytes:
@@ -108,7 +113,7 @@
         """Watch for what is wanted, and nothing else."""
         if self.ended:
             return
-        mask = 0 if len(self.incoming) > MOST_UNREAD else IN
+        mask = 0 if len(self.incoming) > self.keep else IN
         mask |= select.EPOLLOUT if self.outgoing or self.connecting else 0
         if mask != self.mask:
             self.mask = mask
