A wait for a place under a cap, cheap retries after quick errors, a larger cold share

At fault: cold_room, which held a cold server to a warm one's part of its capacity, and again()'s price, a whole retry for an error that cost nothing: the budget of 0.15 was empty.

Design: (1) who finds its customer's cap full waits up to 0.35 of its aim for a place, as many as can have one in time (decide/waiting.py); not taken: refusing with short advice, which spends the client's tries. (2) a retry after an error is priced by the time that it took (decide/retries.py); a full server still costs a whole one. (3) cold servers serve up to 0.64 of the factor that pushes them over, times a warm one's work; what a failing server draws is not counted as work. (4) each refusal names its cause, counted as refused.CAUSE_PLAN.

--- a/petrelhall/decide/interface.py
+++ b/petrelhall/decide/interface.py
@@ -246,6 +246,7 @@
 
     request: int
     retry_after_ms: float = 0.0
+    cause: str = ""  # for people: ceiling, cut, time, pace, open, quota; none: no server
 
 
 @dataclass(frozen=True)
--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -12,7 +12,10 @@
 from petrelhall.decide import interface as api
 from petrelhall.decide.correlation import significant
 from petrelhall.decide.interface import Effect, Ending
+from petrelhall.decide.ledger import COUNT_MS, verdict
+from petrelhall.decide.retries import price
 from petrelhall.decide.state import Customer, Job, Link, Memory, faded, left_of, taken
+from petrelhall.decide.waiting import STEP_MS, Held
 
 # Correlation and cut
 INTERVAL_MS, STALL_MS = 1000.0, 200.0  # ms; the paper's interval; its end so late, we have stood still
@@ -26,9 +29,9 @@
 METER_LAG_MS, PEER_LAG_MS = 1500.0, 150.0  # ms that news of the others' use is old: period and way
 TICK_MS, MAIL_SHARE, TOLD_STEP = 50.0, 0.6, 1.3  # ms between messages; share of what a peer takes in; news
 MANY_MS, MANY_SHARE, SET_SHARE = 100.0, 0.15, 0.75  # ms: a word to all is late; its share then; the sets'
-KEEP_MS, COUNT_MS, MOST_SHARES = 15000.0, 20000.0, 10000  # idle customers; a name; shares: bound memory
+KEEP_MS, MOST_SHARES = 15000.0, 10000  # idle customers; shares: bound memory
 ASK_MIN, ASK_CUT, ASK_STEP, ASK_HASTE = 0.1, 0.7, 0.04, 0.2  # share of tries that call; growth/s; where clear
-SHARE_GAIN, KNOWN, PUT_RIGHT = 0.2, 0.9, 0.25  # weight of a verdict; share borne; of a burst worth a call
+KNOWN = 0.9  # share of demand borne
 PASS_MIN, PASS_GAIN, PASS_MS = 0.05, 0.5, 4000.0  # share let in by the meter: least, step at most, its pace
 BACK_MS = 50.0  # least wait that a refusal advises
 OPEN_LAG_MS, OPEN_RISK, MANY_RISK = 30.0, 0.2, 0.1  # ms that news of an attempt is old; chance of a full cap
@@ -39,10 +42,11 @@
 JITTER, CROSSING, OPENING = 0.15, 5.0, 10.0  # chance in a server's cost, against herding; priced, in prices
 EJECT_MS, EJECT_MAX_MS = 500.0, 4000.0  # ms, first and longest
 RESETS = 3  # in a row that look like a death: one is a connection's end, and the next connect tells more
+COLD_PART = 0.64  # of the work that pushes a cold server over: a warm one's work, times it, is its share
 COLD_FLOOR = 0.5  # requests/s to a cold server from all gateways while no warm rate is known
 LIMIT_START, LIMIT_MIN, LIMIT_MAX = 12.0, 1.0, 64.0  # attempts out at a server: of all, from here
 CALM_WAIT, FULL_WAIT, QUIET_WAIT = 0.20, 0.30, 0.45  # latency over aim: limit grows, falls; silence counts
-SAMPLE, TRUST_MIN = 16, 0.1  # servers compared for a request; least chance given to one that failed
+SAMPLE, TRUST_MIN, TRUSTED = 16, 0.1, 0.5  # servers compared; least chance of one that failed; a good one's
 WAITS, SHED_WAIT = 9, 0.4  # answers whose median, over the aim, sheds demand from here on
 PACE_MIN, PACE_SLACK = 0.5, 2.0  # tries/s let in at least; at most, over the usual
 PACE_CUT, PACE_STEP, PACE_HASTE = 0.3, 0.02, 0.5  # cut an interval; growth, more where all is quick
@@ -54,7 +58,7 @@
 RETRY_SHARE, RETRY_CAP = 0.15, 15.0  # retry budget: earned by a first attempt; most that is saved
 OVERDUE, OVERDUE_MIN, OVERDUE_MAX = 3.0, 0.2, 0.5  # mean latencies, within shares of the aim
 AIM_MARGIN, WINDOW_MARGIN = 0.98, 0.9  # share of the aim, of a keyed window, that is used
-FIRST_TOKEN = 4  # timers: 0 interval, 1 and 3 peers, 2 list, then one for each request
+FIRST_TOKEN = 5  # timers: 0 interval, 1 and 3 peers, 2 list, 4 who waits, then one for each request
 
 
 class Gateway(Memory):
@@ -62,7 +66,7 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__(retries=RETRY_CAP / 2)
-        self.settings, self.random = settings, random.Random(seed)
+        self.settings, self.random, self.held = settings, random.Random(seed), Held()
         self.first_limit = max(LIMIT_MIN, LIMIT_START / settings.gateways)
         mail = max(1.0, settings.peer_messages_per_s)
         gap = 1000.0 * settings.gateways / (MAIL_SHARE * mail)
@@ -106,11 +110,8 @@
     def within_quota(self, customer: Customer, units: float, verdict: bool | None) -> bool:
         """Let the bucket decide; beyond it, borrow room that the others are known to leave unused."""
         plan, within = customer.plan, min(customer.bucket, customer.shared) >= units
-        crowded = plan.max_open > 0 and self.crowded(customer)
-        if crowded or plan.rate <= 0:
-            return not crowded
-        if verdict is not None:
-            return verdict
+        if plan.rate <= 0 or verdict is not None:
+            return verdict is not False
         heard = max(customer.news_at, self.peers_at, self.started * self.many)
         if self.counter or self.now - heard > NEWS_MS:
             return within
@@ -221,7 +222,7 @@
             customer.total, customer.total_of, customer.heard = event.total, event.name, True
             if self.counter:  # of many, peers tell of it: it must not count twice
                 self.others_used(customer, max(0.0, event.total - before - amount))
-            put_right = self.judge_store(job, asked, amount, event.total)
+            job.verdict, put_right = verdict(customer, asked, amount, job.told, job.units, event.total)
             if put_right and (self.many or self.ask_share >= 1.0) and not job.ended:
                 self.call_counter(event.name, put_right, job, event.total)
             else:
@@ -238,26 +239,6 @@
         if not job.ended:
             self.admit(job)
 
-    def judge_store(self, job: Job, asked: float, amount: float, total: float) -> float:
-        """Let the store on the counter decide, and give what must be added to keep it right.
-
-        Refused units are given back, a store above a burst loses the rest, a new name's first call carries
-        over what the last lacked: an emptied counter brings one burst and no more.
-        """
-        customer, plan = job.customer, job.customer.plan
-        filled = customer.level_now(asked)
-        level = plan.burst + plan.rate * (asked % COUNT_MS) / 1000.0 - total
-        put_right = max(0.0, level + amount - plan.burst)
-        if total <= amount and customer.level_at < asked - asked % COUNT_MS:
-            put_right += max(0.0, plan.burst - filled)
-        elif put_right < PUT_RIGHT * plan.burst:
-            put_right = 0.0
-        job.verdict = level - put_right + job.told - job.units >= -1e-6
-        customer.share += SHARE_GAIN * (job.verdict - customer.share)
-        put_right -= 0.0 if job.verdict else job.told
-        customer.level, customer.level_at = level - put_right, asked
-        return put_right
-
     def on_peermessage(self, event: api.PeerMessage) -> None:
         """Book a peer's use; where a counter measures, the share of demand that it found instead."""
         self.peers_at = self.now
@@ -272,6 +253,7 @@
         for code, out in opens:
             if code in self.codes:
                 self.codes[code].elsewhere[event.sender] = out, self.now
+                self.release(self.codes[code])
 
     # Correlation and cut
 
@@ -391,7 +373,8 @@
             link.cold_since = None
             return 1.0
         ramp = self.settings.cold_from + (1.0 - self.settings.cold_from) * max(0.0, age)
-        rate = ramp * max(COLD_FLOOR / self.settings.gateways, self.warm_rate) / 1000.0
+        share = ramp * max(1.0, COLD_PART * self.settings.overload_factor)
+        rate = share * max(COLD_FLOOR / self.settings.gateways, self.warm_rate) / 1000.0
         link.cold_store = min(1.0, link.cold_store + rate * (self.now - link.cold_filled))
         link.cold_filled = self.now
         return ramp if link.cold_store >= 1.0 else 0.0
@@ -438,7 +421,8 @@
     def send(self, job: Job, link: Link) -> None:
         """Start an attempt that ends when its answer is worth nothing more; see to its being overdue."""
         job.start(link, self.now)
-        self.out, self.warm_sends = self.out + 1.0, self.warm_sends + (link.cold_since is None)
+        trusted = link.health.get(job.index, (1.0, 0.0))[0] >= TRUSTED  # not who fails
+        self.out, self.warm_sends = self.out + 1.0, self.warm_sends + (link.cold_since is None and trusted)
         self.actions.append(api.Send(job.id, link.server.address, max(1.0, job.useful_until - self.now)))
         if len(job.attempts) == 1:
             wait = max(OVERDUE_MIN * job.kind.aim_ms, OVERDUE * self.expected(job))
@@ -479,13 +463,13 @@
             job.customer.unsaid -= job.told  # granted, not used: the next call takes it back
         keyed = job.kind.effect is Effect.KEYED and job.kind.group == "all"
         harmless = job.kind.effect is Effect.REPEATABLE or keyed or job.never_ran
-        refusal = api.Refuse(job.id, min(self.advice(job), self.settings.max_retry_after_ms))
+        refusal = api.Refuse(job.id, min(self.advice(job), self.settings.max_retry_after_ms), job.cause)
         self.actions.append(refusal if harmless else api.Fail(job.id))
         self.end(job.event)
 
     def advice(self, job: Job) -> float:
         """Say when to come back: soon where only the cap on attempts out was in the way, else late."""
-        if job.capped and not self.pressed:
+        if job.cause == "open" and not self.pressed:
             return max(BACK_MS, statistics.fmean(self.latency.values()))
         return math.inf
 
@@ -539,26 +523,32 @@
         if not self.ask_counter(job):
             self.admit(job)
 
-    def barred(self, job: Job) -> bool:
-        """Tell whether ceiling, cut, time or pace refuse a request, whatever its quota holds."""
+    def barred(self, job: Job) -> str:
+        """Say whether ceiling, cut, time or pace refuse a request, whatever its quota holds."""
         customer, units = job.customer, job.units
         self.refill(customer)
-        capped = customer.plan.ceiling_rate > 0 and customer.cap < units
-        refused = capped or (customer.cut_rate > 0 and customer.cut_store < units) or self.hopeless(job)
+        refused = "ceiling" if customer.plan.ceiling_rate > 0 and customer.cap < units else ""
+        refused = refused or "cut" * (customer.cut_rate > 0 and customer.cut_store < units)
+        refused = refused or "time" * self.hopeless(job)
         known = job.verdict or (customer.share > KNOWN and customer.heard)
         if self.first_limit <= LIMIT_MIN:  # no limit of a server is left to fall
             fill = self.pace * (self.now - self.paced_at) / 1000.0
             self.room_store, self.paced_at = min(2.0 + 0.5 * self.pace, self.room_store + fill), self.now
             most = 1.0 + self.pace * PACE_OUT * job.kind.aim_ms / 1000.0  # Little's law: before answers tell
-            refused = refused or self.room_store < (1.0 if known else DOUBT) or self.out >= most
+            refused = refused or "pace" * (self.room_store < (1.0 if known else DOUBT) or self.out >= most)
         return refused
 
     def admit(self, job: Job) -> None:
         """What bars it, then its quota, then a server with room; else refuse at once."""
-        customer, units, refused = job.customer, job.units, self.barred(job)
-        job.capped = not refused and customer.plan.max_open > 0 and self.crowded(customer)
-        granted = not refused and self.within_quota(customer, units, job.verdict)
-        link = self.pick(job) if granted else None
+        customer, units, job.cause = job.customer, job.units, self.barred(job)
+        job.cause = job.cause or "quota" * (not self.within_quota(customer, units, job.verdict))
+        job.cause = job.cause or "open" * (customer.plan.max_open > 0 and self.crowded(customer))
+        if job.cause == "open" and self.held.take(job, self.now, self.expected(job)):
+            if not self.held.due:
+                self.held.due = True
+                self.actions.append(api.SetTimer(STEP_MS, 4))
+            return
+        link = None if job.cause else self.pick(job)
         if link is None:
             self.finish(job)
             return
@@ -571,6 +561,11 @@
         self.send(job, link)
         self.tell_open(customer)
 
+    def release(self, customer: Customer | None) -> None:
+        """Decide anew on those that wait for a place of a customer, or for any."""
+        for job in self.held.leave(customer):
+            self.admit(job)
+
     def on_outcome(self, event: api.Outcome) -> None:
         """Book the attempt, learn from it, and answer or try again where the answer is still owed."""
         job = self.jobs.get(event.request)
@@ -578,6 +573,7 @@
             return
         attempt, customer = job.attempts[event.attempt], job.customer
         ran = event.ending not in (Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT)
+        cost = price(event, ran, self.expected(job))
         job.settle(attempt, self.now, ran)
         self.out -= 1.0
         self.judge(attempt.link, event, job)
@@ -587,8 +583,9 @@
             customer.draw(event.actual_units - job.units, event.actual_units - job.units)
         if job.ended or event.finished:
             self.end(event)
-        elif not job.waiting and not self.again(job, float(ran or event.ending is Ending.FULL)):
+        elif not job.waiting and not self.again(job, cost):
             self.finish(job)
+        self.release(customer)
         self.tell_open(customer)
 
     def on_alarm(self, event: api.Alarm) -> None:
@@ -605,6 +602,8 @@
             self.tell_due = False
             if self.opened:
                 self.tell_peers()
+        elif event.token == 4:
+            self.release(None)
         elif event.token == 2:
             self.actions.append(api.Subscribe())
         elif job is not None and not job.ended and len(job.attempts) == 1 and self.stalled < self.now:
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -137,7 +137,7 @@
     verdict: bool | None = None  # of the counter's store
     ran_at: float = math.inf  # when the first attempt that may have run was sent
     ran_server: Server | None = None
-    capped: bool = False  # refused for the cap on attempts out
+    cause: str = ""  # what it was refused for at first
     ended: bool = False
     overdue: bool = False  # and counted as slow
 
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -163,6 +163,8 @@
                     return None
                 order = ticket.orders.popleft() if ticket.orders else Fault(ticket.id)
                 if isinstance(order, api.Refuse):
+                    cause = order.cause or ("attempts" if attempts else "servers")
+                    self.counts.add("refused", f"{cause}_{request.plan}")
                     return Refused(order.retry_after_ms)
                 if isinstance(order, api.Fail):
                     return Failed("no attempt was served")
