--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -8,17 +8,18 @@
 import select
 import signal
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from petrelhall.boxes.discovery import Watch
 from petrelhall.boxes.fleet import Fleet
 from petrelhall.decide import interface as api
+from petrelhall.decide import snapshot
 from petrelhall.decide.policy import Gateway
 from petrelhall.gateway.config import Config, ConfigError, load
 from petrelhall.gateway.counter import CounterClient
 from petrelhall.gateway.dispatch import Dispatcher
 from petrelhall.gateway.front import CLOSE_MS, Front
-from petrelhall.gateway.handover import Handover
+from petrelhall.gateway.handover import CALM_LOOK_MS, LOOK_MS, Handover
 from petrelhall.gateway.mgmt import CALLERS, Management
 from petrelhall.gateway.peers import Peers
 from petrelhall.gateway.platform import Platform
@@ -28,7 +29,7 @@
 from petrelhall.links.pool import Pool
 from petrelhall.net.counts import Counts
 from petrelhall.net.log import Log
-from petrelhall.net.loop import Loop
+from petrelhall.net.loop import Loop, now_ms
 from petrelhall.net.stream import Address
 from petrelhall.operator.file import OperatorError, differences, read
 from petrelhall.operator.settings import File
@@ -52,7 +53,9 @@
         self.counter: CounterClient | None = None
         self.mind_signals()  # before anyone can connect: unminded, any of them ends the program at once
         settings = config.settings
-        self.dispatcher = Dispatcher(self.loop, Gateway(settings, config.seed), self.counts, log)
+        self.handover = Handover(config.name, log.write)
+        self.module = Gateway(settings, config.seed)
+        self.dispatcher = Dispatcher(self.loop, self.module, self.counts, log)
         platform = Platform(settings, config.classes, config.plans)
         own = OWN_SOCKETS + (CALLERS if config.mgmt else 0)
         room = max(20, min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - own)
@@ -70,6 +73,7 @@
         self.dispatcher.tell(api.Started())
         self.shift()
         self.start_list()
+        self.take_over()
         self.front = Front(self.loop, config.listen, platform, desk, lambda: bool(self.fleet.addresses),
                            self.counts, log, clients, body_room)
         self.front.on_empty = self.loop.stop
@@ -78,7 +82,8 @@
             self.mgmt = Management(self.loop, config.mgmt, self.fleet, self.say_ready, self.dispatcher.tell,
                                    self.counts, log.write, config.name)
             self.dispatcher.tell(self.fleet.relabel())  # servers that the operators took out before this start
-        self.handover = Handover(self.loop, config.name, self.ready, self.hand_over, log.write)
+        look_ms = LOOK_MS if config.mgmt is not None else CALM_LOOK_MS
+        self.handover.watch(self.loop, look_ms, self.ready, self.hand_over, self.snapshot)
 
     def ready(self) -> bool:
         """Tell whether this process takes clients: it listens, is not ending, and knows servers to send to."""
@@ -186,6 +191,26 @@
             else:
                 self.begin_end()
 
+    def take_over(self) -> None:
+        """Go on from what the process before this one knew, where this is an upgrade: before anyone can connect."""
+        data = self.handover.join()
+        if data is None:
+            return
+        try:
+            latency, faults = snapshot.restore(self.module, self.config.settings, data, now_ms())
+        except snapshot.SnapshotError as error:
+            return self.log.write(f"snapshot of the process before this one ignored: {error}")
+        self.module.latency = dict(zip(self.config.settings.classes, latency, strict=True))
+        self.module.faults = faults
+        self.log.write(f"taken over from the process before this one: {len(self.module.customers)} customers, "
+                       f"{len(data['links'])} servers")
+
+    def snapshot(self) -> dict[str, Any]:
+        """Give what the next process of this gateway can use."""
+        classes = self.config.settings.classes
+        return snapshot.take(self.module, self.config.settings, [self.module.latency[kind] for kind in classes],
+                             self.module.faults)
+
     def hand_over(self) -> None:
         """A newer process of this gateway is ready: what is new is its; this one ends with its last client."""
         self.succeeded = True
