Gateways that began together take stores for full; sums make up for lost messages

Design: for its first 5 s a gateway tells its age with its messages (code 0). Who has heard all others and finds them as old as itself, to a second, knows that nobody used anything before, and puts into each store what it had left out (decide/dawn.py). One older, silent or unheard gateway and the even slice stays; the hard ceiling starts empty as before, since there a mistake breaks a rule. Second, each use told carries the sum of all that was told before, counted round a byte: the next message makes up for lost ones, and a sum that does not fit (a restart) is passed over (gossip version 3: others' messages read as nothing). Not taken: numbering messages and asking again, which costs a way back.

At fault: Gateway.on_arrival, an even slice for whoever comes in the first 3 s. Two new tests.

--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -11,9 +11,11 @@
 from petrelhall.decide import gossip
 from petrelhall.decide import interface as api
 from petrelhall.decide.correlation import significant
+from petrelhall.decide.dawn import Dawn, fill
 from petrelhall.decide.interface import Effect, Ending
 from petrelhall.decide.ledger import COUNT_MS, verdict
 from petrelhall.decide.retries import price
+from petrelhall.decide.slowstart import cold_room
 from petrelhall.decide.state import Customer, Job, Link, Memory, faded, left_of, taken
 from petrelhall.decide.waiting import STEP_MS, Held
 
@@ -42,8 +44,6 @@
 JITTER, CROSSING, OPENING = 0.15, 5.0, 10.0  # chance in a server's cost, against herding; priced, in prices
 EJECT_MS, EJECT_MAX_MS = 500.0, 4000.0  # ms, first and longest
 RESETS = 3  # in a row that look like a death: one is a connection's end, and the next connect tells more
-COLD_PART = 0.64  # of the work that pushes a cold server over: a warm one's work, times it, is its share
-COLD_FLOOR = 0.5  # requests/s to a cold server from all gateways while no warm rate is known
 LIMIT_START, LIMIT_MIN, LIMIT_MAX = 12.0, 1.0, 64.0  # attempts out at a server: of all, from here
 CALM_WAIT, FULL_WAIT, QUIET_WAIT = 0.20, 0.30, 0.45  # latency over aim: limit grows, falls; silence counts
 SAMPLE, TRUST_MIN, TRUSTED = 16, 0.1, 0.5  # servers compared; least chance of one that failed; a good one's
@@ -75,6 +75,7 @@
         self.many = self.peers and self.open_gap > MANY_MS  # what cannot wait for a word to all goes to sets
         self.tell_gap = max(TICK_MS, gap * MAIL_SHARE / MANY_SHARE if self.many else gap)
         self.open_life = max(OPEN_MS, 2.0 * self.tell_gap * self.many)
+        self.dawn = Dawn((settings.gateways - 1) * (self.peers and not self.many))
         self.counter = settings.counter and not self.peers
         self.metered = settings.meter_ms > 0 and not self.counter and not self.peers
         self.latency = {kind: FIRST_GUESS * kind.aim_ms for kind in settings.classes}  # ms a unit
@@ -126,7 +127,8 @@
         were heard for a while the even slice holds.
         """
         left = customer.plan.max_open - customer.open
-        unheard = self.now - max(self.started, self.peers_at) > NEWS_MS or self.now - self.started < RATE_MS
+        unheard = self.now - max(self.started, self.peers_at) > NEWS_MS
+        unheard = unheard or (self.now - self.started < RATE_MS and not self.dawn.known)
         if left <= 0 or not self.peers or unheard:
             return max(1, int(customer.plan.max_open * customer.even)) <= customer.open or left <= 0
         left -= int(sum(out for out, at in customer.elsewhere.values() if at > self.now - self.open_life))
@@ -160,11 +162,11 @@
             return  # it goes with the next word to all
         code, told = customer.code, self.told.pop(customer.code, 0.0)
         opens = [(code, self.opened.pop(code))] if code in self.opened else []
-        self.actions.append(api.Tell(gossip.encode([(code, told)], opens), others))
+        self.actions.append(api.Tell(gossip.encode([(code, told)], opens, self.sums), others))
 
     def tell_peers(self) -> None:
         """Send what peers were not told yet, as far as a message holds it."""
-        content, self.told, self.opened = gossip.pack(self.told, self.opened)
+        content, self.told, self.opened = gossip.pack(self.told, self.opened, self.sums)
         self.actions.append(api.Tell(content))
         self.told_at = self.now
 
@@ -242,9 +244,12 @@
     def on_peermessage(self, event: api.PeerMessage) -> None:
         """Book a peer's use; where a counter measures, the share of demand that it found instead."""
         self.peers_at = self.now
-        uses, opens = gossip.decode(event.content)
+        uses, opens = gossip.decode(event.content, event.sender, self.heard_sums)
         for code, told in uses:
-            if code in self.codes and self.peers:
+            if code == gossip.AGE:
+                if self.dawn.heard(event.sender, told, self.now - self.started):
+                    self.fill_stores()
+            elif code in self.codes and self.peers:
                 self.others_used(self.codes[code], told)
             elif not self.peers:
                 self.remember(code, told, MOST_SHARES)
@@ -255,6 +260,12 @@
                 self.codes[code].elsewhere[event.sender] = out, self.now
                 self.release(self.codes[code])
 
+    def fill_stores(self) -> None:
+        """All began together: what was left out of each store, since others might have used it, is there."""
+        for customer in self.customers.values():
+            self.refill(customer)
+            fill(customer)
+
     # Correlation and cut
 
     def close_interval(self) -> None:
@@ -341,7 +352,7 @@
         """Pick the least expected wait among servers with room, by work out and measured slowness."""
         best, least = None, math.inf
         for link in self.random.sample(ready, min(SAMPLE, len(ready))):
-            ramp = self.cold_room(link)
+            ramp = cold_room(link, self.now, self.settings, self.warm_rate)
             quiet = link.out > 0 and link.heard < self.now - QUIET_WAIT * job.kind.aim_ms < link.sent
             used = any(attempt.link is link for attempt in job.attempts)
             shut = link.out >= max(1.0, link.limit * ramp) or self.now < link.ejected_until
@@ -366,19 +377,6 @@
             link.health[job.index] = (0.5 * (link.health.get(job.index, (1.0, 0.0))[0] + good), self.now)
             self.faults[job.index] += FAULT_GAIN * ((not good) - self.faults[job.index])
 
-    def cold_room(self, link: Link) -> float:
-        """Slow start: the share of a warm server's work that this one can do, 0 once it had that."""
-        age = (self.now - (link.cold_since or 0.0)) / max(1.0, self.settings.cold_ms)
-        if link.cold_since is None or age >= 1.0:
-            link.cold_since = None
-            return 1.0
-        ramp = self.settings.cold_from + (1.0 - self.settings.cold_from) * max(0.0, age)
-        share = ramp * max(1.0, COLD_PART * self.settings.overload_factor)
-        rate = share * max(COLD_FLOOR / self.settings.gateways, self.warm_rate) / 1000.0
-        link.cold_store = min(1.0, link.cold_store + rate * (self.now - link.cold_filled))
-        link.cold_filled = self.now
-        return ramp if link.cold_store >= 1.0 else 0.0
-
     def judge(self, link: Link, event: api.Outcome, job: Job) -> None:
         """Learn from how an attempt ended: latency, concurrency limit, outlier ejection."""
         ending, lateness = event.ending, event.latency_ms / job.kind.aim_ms
@@ -503,7 +501,8 @@
             told = self.shares.get(code, 100.0) / 100.0
             customer.share = told if self.counter or self.metered else customer.even
             if self.peers:  # the store less what was told of it, where peers were heard for a while
-                heard = self.now - self.started > NEWS_MS and self.now - self.peers_at < NEWS_MS
+                heard = self.dawn.known or self.now - self.started > NEWS_MS
+                heard = heard and self.now - self.peers_at < NEWS_MS
                 used = self.strangers.pop(code, [])
                 # Of many, a slice is under one request: it would give nobody any until news comes.
                 left = left_of(plan, used, self.now) if heard or self.many else 0.0
@@ -596,6 +595,7 @@
         elif event.token == 1:
             self.actions.append(api.SetTimer(self.tell_gap * (0.5 + self.random.random()), 1))  # not in step
             self.opened = self.outs | self.opened
+            self.told |= self.dawn.word(self.now - self.started)
             if (self.told or self.opened) and self.now - self.told_at >= self.open_gap:
                 self.tell_peers()
         elif event.token == 3:
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -214,6 +214,8 @@
     told: dict[int, float] = field(default_factory=dict)  # units since the last message, by code
     opened: dict[int, int] = field(default_factory=dict)  # attempts out that peers were not told of, by code
     outs: dict[int, int] = field(default_factory=dict)  # attempts out of capped customers that have any
+    sums: dict[int, int] = field(default_factory=dict)  # of all told of a customer, half units counted round
+    heard_sums: dict[tuple[int, int], int] = field(default_factory=dict)  # the same as heard, by peer and code
     told_at: float = -math.inf  # when peers were last told anything
     tell_due: bool = False  # whether a timer stands for telling them of attempts out
     # What peers sent on for customers that are not known here, by code: when and how many units
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -36,6 +36,7 @@
     Tell,
 )
 from petrelhall.decide.policy import Gateway
+from petrelhall.decide.slowstart import COLD_PART, cold_room
 from petrelhall.decide.state import Customer, taken
 
 SETTINGS = Settings(
@@ -383,13 +384,48 @@
     """Half warm, it takes half of what a warm one serves, times what it bears: 0.64 of twice its capacity."""
     door = Door(servers=(Server("cold", since_ms=1e6 - 5000.0),))
     link = door.gateway.links["cold"]
-    door.gateway.warm_rate = 10.0
-    door.gateway.cold_room(link)
-    link.cold_store, door.now = 0.0, door.now + 50.0
-    door.gateway.now = door.now
-    door.gateway.cold_room(link)
+    cold_room(link, door.now, SETTINGS, 10.0)
+    link.cold_store = 0.0
+    cold_room(link, door.now + 50.0, SETTINGS, 10.0)
     half = 0.2 + 0.8 * 5050.0 / 10000.0
-    assert link.cold_store == pytest.approx(policy.COLD_PART * 2.0 * half * 10.0 * 0.05)
+    assert link.cold_store == pytest.approx(COLD_PART * 2.0 * half * 10.0 * 0.05)
+
+
+def test_what_a_lost_message_told_comes_with_the_next_and_another_count_is_not_taken_for_it() -> None:
+    sums: dict[int, int] = {}
+    heard: dict[tuple[int, int], int] = {}
+    words = [gossip.encode([(7, 2.5)], sums=sums) for _ in range(120)]  # the sum goes round
+    uses = [gossip.decode(word, 1, heard)[0] for word in (words[0], words[2], *words[3:])]
+    assert [units for use in uses for _, units in use] == [2.5, 5.0] + [2.5] * 117
+    assert gossip.decode(words[0], 2, heard)[0] == [(7, 2.5)]  # of another peer
+    begun_anew = gossip.encode([(7, 1.0)], sums={})  # it has restarted: its sum is another
+    assert gossip.decode(begun_anew, 1, heard)[0] == [(7, 1.0)]
+    assert gossip.decode(gossip.encode([(gossip.AGE, 3.0)], sums=sums), 1, heard)[0] == [(gossip.AGE, 3.0)]
+    for junk in (b"", b"\x03", b"\x03\xff", b"\x02\x00", words[0] + b"x", words[0][:-1]):
+        assert gossip.decode(junk, 1, heard) == ([], [])
+    full = gossip.pack({code: 1.0 for code in range(1, 90)}, {code: 1 for code in range(60)}, {})
+    assert len(full[0]) <= 256 and len(full[1]) == 89 and len(full[2]) == 10
+
+
+def test_gateways_that_began_together_know_that_every_store_was_full() -> None:
+    """A new day, told by all others' ages; one that is older, unheard or restarted leaves the even slice."""
+    settings = replace(SETTINGS, plans=(Plan(rate=1, burst=8),), gateways=4, peers=True, peer_messages_per_s=100)
+    for ages, first, second in (((0.5, 0.5, 0.5), 7.5, 8.0), ((0.5, 0.5), 1.0, 2.0), ((0.5, 0.5, 4.0), 1.0, 2.0),
+                                ((9.0, 0.5, 0.5), 1.0, 2.0)):
+        door = Door(settings)
+        door.feed(Arrival(1, 0, 0, "a", 3000, 1, 4))  # it draws one of its slice of two
+        door.now += 500.0
+        for peer, age in enumerate(ages):
+            door.feed(PeerMessage(peer + 1, gossip.encode([(0, age)])))
+        door.feed(Arrival(2, 0, 0, "b", 3000, 1, 4))
+        stores = [door.gateway.customers[who].shared for who in "ab"]
+        assert stores == [pytest.approx(first), pytest.approx(second - 1.0)], ages
+    there = Door(settings)
+    there.now += 500.0
+    (word,) = [a for a in there.feed(Alarm(1)) if isinstance(a, Tell)]
+    assert gossip.decode(word.content)[0] == [(0, 0.5)]
+    there.now += 5000.0
+    assert not [a for a in there.feed(Alarm(1)) if isinstance(a, Tell)]
 
 
 def test_a_customer_new_here_has_its_store_less_what_peers_told_of_it() -> None:
