A gateway on another's address does not start; passed-on bodies are held once

Design: SO_REUSEPORT lets a gateway set on another's address by mistake share its clients unawares. A start tries a bind without it first; where somebody listens and no mark under $TMPDIR tells of an upgrade, it waits 3 s for one that may be ending, then says one line and exits 1. Not taken: a lock file (stale after a crash), asking whoever listens who it is (another's service is not ours to question).

And a box that was seen to start was met by 64 connections in its first second where neither platform nor operators say how long it is cold (Plan.configure: 0 ms meant never); now 10 s, 12 or so.

--- a/petrelhall/gateway/handover.py
+++ b/petrelhall/gateway/handover.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import tempfile
 import time
@@ -17,8 +18,10 @@
 from petrelhall.control.handover import handed, letter, mark, marked, succeeded
 from petrelhall.net.files import write_whole
 from petrelhall.net.loop import Loop, now_ms
+from petrelhall.net.stream import Address, taken
 
 LOOK_MS, CALM_LOOK_MS = 50.0, 250.0  # between two looks where operators can call, and so upgrade, and elsewhere
+FREE_MS = 3000.0  # in which a process that ends has left the clients' address
 JOIN_MS, STEP_S = 300.0, 0.005  # in which the old process must have answered, before the new one listens
 
 
@@ -52,6 +55,21 @@
         self.log("no snapshot came from the process that serves: this one starts from nothing")
         return None
 
+    def alone(self, address: Address) -> None:
+        """See to it that nobody else listens at the clients' address, or that this is an upgrade (OSError).
+
+        A listener that is shared by mistake would have half of its clients answered by a gateway that is not theirs.
+        A mark under ``$TMPDIR`` is the sign of an upgrade, whoever left it: a stranger cannot be told apart then. One
+        that is about to end is waited for.
+        """
+        until = now_ms() + FREE_MS
+        while not os.path.exists(self.ready_path) and taken(address):
+            if now_ms() >= until:
+                where = f"{address[0]}:{address[1]}"
+                raise OSError(errno.EADDRINUSE, f"listen: another process listens at {where}, and no mark in "
+                                                f"{self.ready_path} tells of an upgrade")
+            time.sleep(STEP_S)
+
     # Both
 
     def watch(self, loop: Loop, look_ms: float, ready: Callable[[], bool], leave: Callable[[], None],
--- a/petrelhall/gateway/platform.py
+++ b/petrelhall/gateway/platform.py
@@ -126,7 +126,7 @@
         """Word an attempt: all that the client sent unchanged, and how long we wait."""
         asked = message.message
         headers = [*message.headers, (b"X-Deadline", b"%dm" % max(1, int(wait_ms)))]
-        return asked.method, asked.target, headers, asked.body
+        return asked.method, asked.target, headers, asked.body if asked.rest is None else asked.rest.first
 
     def rest(self, message: Spoken) -> Inflow | None:
         """Give the rest of a body that is passed on as it comes, if there is one."""
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -54,6 +54,7 @@
         self.mind_signals()  # before anyone can connect: unminded, any of them ends the program at once
         settings = config.settings
         self.handover = Handover(config.name, log.write)
+        self.handover.alone(config.listen)
         self.module = Gateway(settings, config.seed)
         self.dispatcher = Dispatcher(self.loop, self.module, self.counts, log)
         platform = Platform(settings, config.classes, config.plans)
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -30,20 +30,21 @@
     headers: dict[bytes, bytes]
     body: bytes
     repeated: frozenset[bytes] = frozenset()
-    rest: Inflow | None = None  # what follows ``body``, where it is too large to keep
+    rest: Inflow | None = None  # in place of ``body``, where it is too large to keep
 
 
 class Inflow:
-    """The rest of a client's body that is passed on as it comes; ``length`` of the whole is None for chunks.
+    """A client's body that is passed on as it comes; ``length`` of the whole is None for chunks.
 
     ``spent`` from the first byte that a server was sent: what was passed on is not kept, and cannot go again.
     ``broken`` tells how it ended where it did not come whole.
     """
 
-    __slots__ = ("source", "length", "spent", "whole", "broken", "late")
+    __slots__ = ("source", "length", "first", "spent", "whole", "broken", "late")
 
-    def __init__(self, source: ServerSide, length: int | None) -> None:
+    def __init__(self, source: ServerSide, length: int | None, first: bytes) -> None:
         self.source, self.length = source, length
+        self.first = first  # what had come of it, until that is passed on
         self.spent = self.whole = False
         self.broken: Broken | None = None
         self.late: Callable[[], bool] = lambda: False  # whether the client has run out of time to send
@@ -163,9 +164,9 @@
                     self.come += len(event.data)
                     if self.come > MOST_BODY and not self.keeps():
                         wrong = self.refused()
-                        return wrong or self.message(Inflow(self, stated_length(self.headers)))
+                        return wrong or self.message(True)
                 elif isinstance(event, h11.EndOfMessage) and self.asked is not None:
-                    return self.message(None)
+                    return self.message(False)
         except h11.RemoteProtocolError as error:
             return Broken(error.error_status_hint, str(error))
 
@@ -191,9 +192,11 @@
         self.held = 0
         self.body.clear()
 
-    def message(self, rest: Inflow | None) -> Message:
+    def message(self, flows: bool) -> Message:
         """Give the request that has come, whole or with the rest of its body to follow."""
-        message = self.word(bytes(self.body), rest)
+        body = bytes(self.body)
+        rest = Inflow(self, stated_length(self.headers), body) if flows else None
+        message = self.word(b"" if flows else body, rest)
         self.body.clear()
         self.asked = None
         return message
--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -25,6 +25,7 @@
 REFUSALS = 3  # in a row, without an answer between, after which a box that lived is taken for dead
 CUT, GROW_MS = 0.7, 1000.0  # bound at a box after it refused; time in which the bound grows by one
 TOTAL_GROW_MS = 500.0  # the same for all connections, after the machine had no descriptor
+UNTOLD_MS = 10000.0  # for which a box that was seen to start is cold, where neither platform nor operators say
 RAMP = 8.0  # pace of opening to a box that is nearly warm, over that to a cold one
 LOOKS = 64  # of those in one tick, so that thousands of boxes don't hold up serving
 REFRESH = 0.5  # share of its allowed idle time after which a connection that is still needed is used first
@@ -146,7 +147,7 @@
         self.settings = settings
         self.most = min(settings.total or self.room, self.room)
         self.total = float(self.most)
-        self.cold_ms = settings.cold.ms or self.platform_cold_ms
+        self.cold_ms = settings.cold.ms or self.platform_cold_ms or UNTOLD_MS
         self.idle_ms = settings.stale.idle_ms or IDLE_SHARE * self.platform_idle_ms
         for box in self.boxes.values():
             box.bound = float(settings.per_box)
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -152,7 +152,7 @@
         off before its last byte never ran: that tells nothing against a box whose client stopped.
         """
         stream, http = connection.http.stream, connection.http
-        rest.spent = True
+        rest.spent, rest.first = True, b""
         wake = self.loop.this_task().wake
         stall = now_ms() + STALL_MS
         waiting = len(stream.outgoing)
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -185,6 +185,17 @@
     return sock
 
 
+def taken(address: Address) -> bool:
+    """Tell whether another process listens at an address: one that SO_REUSEPORT would let us join unawares."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM | NEW_SOCKET) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # connections of one that has ended are no matter
+        try:
+            sock.bind(address)
+        except OSError as error:
+            return error.errno == errno.EADDRINUSE
+    return False
+
+
 def parse_address(text: str) -> Address:
     """Read host:port."""
     host, _, port = text.rpartition(":")
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -275,6 +275,20 @@
         self.assertIsInstance(plan.take(warm, "b0", True), Link)
         self.assertIsInstance(plan.take(warm, "b0", True), Link)
 
+    def test_a_box_that_just_started_is_met_at_a_pace_where_nobody_says_how_long_it_is_cold(self) -> None:
+        opened = []
+        for begins in (T0 - 1.0, 0.0):  # it has just started; it started long ago
+            plan = Plan(Links(), 400, 30000.0)
+            plan.listed(T0, "b0", ("127.0.0.1", 9), begins)
+            opened.append(0)
+            for step in range(1000):
+                link = plan.take(T0 + 0.8 * step, "b0", True)
+                if isinstance(link, Link):
+                    opened[-1] += 1
+                    plan.opened(T0 + 0.8 * step, link)
+        self.assertLess(opened[0], 14)
+        self.assertGreater(opened[1], opened[0])
+
     def test_a_cold_box_that_is_slow_to_take_connections_has_two_coming_up_at_most(self) -> None:
         plan = self.plan(started=T0 - 1.0)
         got = [plan.take(T0 + 100.0 * step, "b0", True) for step in range(50)]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import unittest
 
@@ -145,6 +146,21 @@
         _, errors = first.communicate(timeout=PATIENCE_S)
         self.assertIn("a newer process of this gateway is ready", errors)
 
+    def test_a_gateway_set_on_an_address_in_use_by_another_does_not_start_and_does_no_harm(self) -> None:
+        server = self.listener()
+        self.start(server)
+        client = self.client(ask(1))
+        at_server = self.accept(server)
+        self.serve(at_server, client, b"one")
+        with tempfile.TemporaryDirectory() as elsewhere:  # no mark of an upgrade there
+            other = self.second(EDGE_NAME="n9", TMPDIR=elsewhere)
+            _, errors = other.communicate(timeout=PATIENCE_S)
+        self.assertEqual(other.returncode, 1)
+        self.assertRegex(errors, r"\Apetrelhall: cannot start: .*another process listens at 127.0.0.1:\d+.*\n\Z")
+        client.sendall(ask(2))
+        self.assertTrue(self.serve(at_server, client, b"two").endswith(b"two"))
+        self.assertIsNone(self.program.poll())
+
     def test_a_second_process_on_the_same_addresses_starts_and_serves_after_the_first_leaves(self) -> None:
         server = self.listener()
         first = self.start(server)
