Ten guards that no test missed when taken out have tests now

The sums of heard ages were kept apart for nothing (an age of 5 s never looks like a missed message): taken out.

--- a/petrelhall/decide/gossip.py
+++ b/petrelhall/decide/gossip.py
@@ -54,7 +54,7 @@
         return [], []
     uses = []
     for code, halves, total in USE.iter_unpack(body[2:end]):
-        if heard is not None and code != AGE:
+        if heard is not None:
             missed = (total - halves - heard.get((sender, code), total - halves)) & 255
             if len(heard) >= MOST_SUMS:
                 heard.clear()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -7,9 +7,15 @@
 import struct
 import time
 import unittest
+from typing import Any
 
+from petrelhall.decide import interface as api
+from petrelhall.decide.interface import Ending
+from petrelhall.gateway.requests import Desk, Request
 from petrelhall.http.room import KEEP_EACH, LEAST_EACH, MOST_EACH, Room
-from petrelhall.net.loop import Loop
+from petrelhall.links.attempt import Reach, Result
+from petrelhall.net.counts import Counts
+from petrelhall.net.loop import Loop, Steps, now_ms
 from petrelhall.net.stream import Stream
 from tests.peers import PATIENCE_S, Story, ask, read_message, reply
 
@@ -111,6 +117,52 @@
         self.assertTrue(read_message(client).endswith(b"next"))
         self.assertIn("answered.bodies_passed_on=1", self.stop())
 
+    def test_the_time_of_a_request_counts_from_the_last_byte_of_its_body(self) -> None:
+        server = self.listener()
+        self.start(server)
+        client = self.client(post(2 << 20, deadline="1000m"))
+        with self.beside(lambda: [(client.sendall(b"x" * (1 << 18)), time.sleep(0.2)) for _ in range(8)]):
+            at_server = self.accept(server)
+            self.read_body(at_server)
+        at_server.sendall(reply(b"done"))
+        self.assertTrue(read_message(client).endswith(b"done"))
+
+    def test_a_kept_body_gives_its_room_back_with_its_answer(self) -> None:
+        server = self.listener()
+        self.start(server, limits={"sockets": 1024, "memory_mb": 32})  # room for one of 150 kB
+        first = self.client(post(150000), b"x" * 150000)
+        at_server = self.accept(server)
+        for client in (first, self.client()):  # the first stays, idle
+            if client is not first:
+                client.sendall(post(150000, 2) + b"x" * 150000)
+            self.read_body(at_server)
+            at_server.sendall(reply(b"done"))
+            self.assertTrue(read_message(client).endswith(b"done"))
+        self.assertNotIn("bodies_passed_on", self.stop())
+
+    def test_a_slow_body_is_no_slowness_of_its_server(self) -> None:
+        loop, told = Loop(print), list[Any]()
+
+        class Servers:
+            def attempt(self, *args: Any) -> Steps[Result]:
+                yield from loop.sleep(150.0)
+                return Result(Ending.OK, Reach.ANSWERED, asked_at=now_ms() - 5.0)
+
+        class Caller:
+            gone = False
+
+        def tell(event: api.Event) -> None:
+            told.append(event)
+            if isinstance(event, api.Arrival):
+                loop.after(0.0, lambda: desk.give(api.Send(event.request, "s0")))
+
+        desk = Desk(loop, tell, Servers(), Counts(), 0.0)
+        loop.spawn(desk.serve(Request(0, 0, "a", 5000.0, 1.0, 1, False, None), Caller()))
+        until = time.monotonic() + PATIENCE_S
+        while len(told) < 2 and time.monotonic() < until:
+            loop.turn()
+        self.assertLess(told[1].latency_ms, 100.0)
+
     def test_chunks_with_a_trailer_pass_and_a_client_that_waits_for_leave_gets_it(self) -> None:
         server = self.listener()
         self.start(server)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -79,6 +79,7 @@
         good = told(self.worn())
         cases: list[Any] = [None, [], "x", {}, {**good, "form": 2}, {**good, "settings": 1}, {**good, "latency": [1.0]},
                             {**good, "customers": {"a": [9] + good["customers"]["a"][1:]}},
+                            {**good, "customers": {"a": [-1] + good["customers"]["a"][1:]}},
                             {**good, "customers": {"a": good["customers"]["a"][:5]}},
                             {**good, "links": {"s0": ["x"]}}, {**good, "waits": 3},
                             {**good, "memory": [True] * len(snapshot.MEMORY)}]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -348,6 +348,7 @@
     waits = [2 + n for n, answer in enumerate([door.ask() for _ in range(9)]) if answer is HELD]
     # An answer is expected in 200 ms, a place is waited for 350 ms: two may wait, the others are told at once.
     assert waits == [2, 3]
+    assert [a.token for a in door.feed(Alarm(4)) if isinstance(a, SetTimer)] == [4]  # it is looked at again
     door.feed(ClientGone(2))
     (next_one,) = sends(door.answer(first, Ending.OK))
     assert next_one.request == 3  # in turn, but for those who left
@@ -411,7 +412,7 @@
     """A new day, told by all others' ages; one that is older, unheard or restarted leaves the even slice."""
     settings = replace(SETTINGS, plans=(Plan(rate=1, burst=8),), gateways=4, peers=True, peer_messages_per_s=100)
     for ages, first, second in (((0.5, 0.5, 0.5), 7.5, 8.0), ((0.5, 0.5), 1.0, 2.0), ((0.5, 0.5, 4.0), 1.0, 2.0),
-                                ((9.0, 0.5, 0.5), 1.0, 2.0)):
+                                ((9.0, 0.5, 0.5), 1.0, 2.0), ((9.0, 0.5, 0.5, 0.5), 1.0, 2.0)):
         door = Door(settings)
         door.feed(Arrival(1, 0, 0, "a", 3000, 1, 4))  # it draws one of its slice of two
         door.now += 500.0
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -119,7 +119,10 @@
         server = self.listener()
         first = self.start(server)
         idle = self.client(ask(1))
-        self.serve(self.accept(server), idle, b"one")
+        at_server = self.accept(server)
+        self.serve(at_server, idle, b"one")
+        for number in range(2, 20):  # more than are ended at once
+            self.serve(at_server, self.client(ask(number)), b"more")
         self.second()
         self.heard("a newer process of this gateway is ready")
         began = time.monotonic()
@@ -132,7 +135,8 @@
         server = self.listener()
         first = self.start(server)
         client = self.client(ask(1))
-        self.serve(self.accept(server), client, b"one")
+        at_server = self.accept(server)
+        self.serve(at_server, client, b"one")
         with listen() as free:
             where = free.getsockname()
         self.second(EDGE_MGMT=f"{where[0]}:{where[1]}")
@@ -143,6 +147,9 @@
                 call.sendall(b"GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n")
                 answer = read_message(call)
         first.send_signal(signal.SIGTERM)
+        time.sleep(1.0)  # a process that did not know of the new one by then has ended who is idle
+        client.sendall(ask(2))
+        self.assertTrue(self.serve(at_server, client, b"two").endswith(b"two"))
         _, errors = first.communicate(timeout=PATIENCE_S)
         self.assertIn("a newer process of this gateway is ready", errors)
 
