Changes of discovery older than the list held are passed over; bodies have one reader

Design: changes whose version lies before the one held, on a line that has listed already, are not used, and the whole list is asked for after the usual pause. Not taken: dropping them silently (what they were to tell would be lost until the next change); refusing older whole lists too (a discovery that was set back would never be heard again).

--- a/petrelhall/boxes/discovery.py
+++ b/petrelhall/boxes/discovery.py
@@ -112,7 +112,11 @@
         if reply.status != 200:
             return f"status {reply.status}"
         try:
-            news = self.fleet.take(ujson.loads(reply.body))
+            listing = ujson.loads(reply.body)
+            if self.listed and older(listing, self.fleet.version):  # it would undo what was told since, such as drains
+                self.counts.add("discovery", "older")
+                return f"{UNUSABLE}: changes older than version {self.fleet.version}"
+            news = self.fleet.take(listing)
         except (ValueError, TypeError, OverflowError) as error:
             return f"{UNUSABLE}: {error}"
         self.listed, self.whole = True, False
@@ -123,3 +127,11 @@
         if news.kind == "full" or news.servers:
             self.tell(news)
         return ""
+
+
+def older(listing: object, version: int) -> bool:
+    """Tell whether changes come from before a version that is held; a whole list stands for itself."""
+    if not isinstance(listing, dict) or listing.get("full"):
+        return False
+    told = listing.get("version")
+    return isinstance(told, int) and told < version
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -117,6 +117,14 @@
     return b"content-length" in headers and b"transfer-encoding" in headers
 
 
+def gather(http: h11.Connection) -> tuple[bytes, Any]:
+    """Give all of a body that has come, and the event that ends or interrupts it (h11.RemoteProtocolError)."""
+    data = bytearray()
+    while isinstance(event := http.next_event(), h11.Data):
+        data += event.data
+    return bytes(data), event
+
+
 class ServerSide:
     """The side that takes requests, one at a time.
 
@@ -213,24 +221,17 @@
         """Give what more has come of a body that is passed on, and whether it is all."""
         if self.stream.incoming:
             self.http.receive_data(self.stream.take())
-        data = bytearray()
         try:
-            while True:
-                event = self.http.next_event()
-                if isinstance(event, h11.Data):
-                    data += event.data
-                    self.come += len(event.data)
-                    if self.come > MOST_INFLOWING:
-                        return Broken(413, "body too large")
-                elif isinstance(event, h11.EndOfMessage):
-                    return bytes(data), True
-                elif event is h11.NEED_DATA:
-                    self.encourage()
-                    return bytes(data), False
-                else:
-                    return Broken(400, "body cut off")
+            data, event = gather(self.http)
         except h11.RemoteProtocolError as error:
             return Broken(error.error_status_hint, str(error))
+        self.come += len(data)
+        if self.come > MOST_INFLOWING:
+            return Broken(413, "body too large")
+        if event is h11.NEED_DATA:
+            self.encourage()
+            return data, False
+        return (data, True) if isinstance(event, h11.EndOfMessage) else Broken(400, "body cut off")
 
     @property
     def receiving(self) -> bool:
@@ -373,23 +374,19 @@
         """Give what more has come of a flowing answer, and whether it is all; broken where it was cut off."""
         if self.stream.incoming:
             self.http.receive_data(self.stream.take())
-        data = bytearray()
         try:
-            while True:
+            data, event = gather(self.http)
+            if event is h11.NEED_DATA and self.stream.ended:
+                self.http.receive_data(b"")  # what it cuts short is broken
                 event = self.http.next_event()
-                if isinstance(event, h11.Data):
-                    data += event.data
-                elif isinstance(event, h11.EndOfMessage):
-                    self.head = None
-                    return bytes(data), True
-                elif event is h11.NEED_DATA and self.stream.ended:
-                    self.http.receive_data(b"")
-                elif event is h11.NEED_DATA:
-                    return bytes(data), False
-                else:
-                    return Broken(502, "answer cut off")
         except h11.RemoteProtocolError as error:
             return Broken(502, str(error))
+        if event is h11.NEED_DATA:
+            return data, False
+        if not isinstance(event, h11.EndOfMessage):
+            return Broken(502, "answer cut off")
+        self.head = None
+        return data, True
 
     def again(self) -> bool:
         """Make ready for the next request; False where this connection cannot carry one."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -459,6 +459,60 @@
             at_new.sendall(reply(b"new"))
             self.assertTrue(read_message(client).endswith(b"new"))
 
+    def test_older_changes_undo_nothing_and_the_whole_list_is_asked_for(self) -> None:
+        agent, old, new = self.listener(), self.listener(), self.listener()
+        self.start(old, discovery=address(agent))
+        line = self.accept(agent)
+        read_message(line)
+        listed = [entry("s0", address(old), "Terminating"), entry("s1", address(new))]
+        whole = reply(json.dumps({"version": 7, "full": True, "servers": listed}).encode())
+        line.sendall(whole)
+        self.assertIn(b"after=7", read_message(line))
+        stale = {"version": 5, "full": False, "servers": [entry("s0", address(old)), {"id": "s1", "state": "Gone"}]}
+        line.sendall(reply(json.dumps(stale).encode()))  # from a replica that is behind
+        self.assertEqual(line.recv(100), b"")
+        line = self.accept(agent)
+        self.assertTrue(read_message(line).startswith(b"GET /v1/servers HTTP/1.1"))
+        for number in range(4):
+            client = self.client(ask(number))
+            if number == 0:
+                at_new = self.accept(new)
+            read_message(at_new)
+            at_new.sendall(reply(b"new"))
+            self.assertTrue(read_message(client).endswith(b"new"))
+        line.sendall(whole)
+        self.assertIn(b"after=7", read_message(line))
+        self.assertIn("discovery.older=1", self.stop())
+
+    def test_discovery_that_refuses_or_is_silent_or_late_is_not_asked_in_a_storm(self) -> None:
+        listing = reply(json.dumps({"version": 2, "full": True, "servers": []}).encode())
+        for way, most in (("refuses", 12), ("closes", 12), ("silent", 3), ("late", 3)):
+            with self.subTest(way=way):
+                agent, server = self.listener(), self.listener()
+                self.start(server, discovery=address(agent))
+                lines, until = [], time.monotonic() + 1.0
+                while time.monotonic() < until:
+                    agent.settimeout(max(0.01, until - time.monotonic()))
+                    try:
+                        lines.append(self.accept(agent))
+                    except TimeoutError:
+                        break
+                    read_message(lines[-1])
+                    if way == "refuses":
+                        lines[-1].sendall(reply(b"", "503 Busy"))
+                    elif way == "closes":
+                        lines[-1].close()
+                if way == "late":
+                    with contextlib.suppress(OSError):
+                        lines[0].sendall(listing)  # an answer that nobody waits for any more empties no list
+                self.assertLessEqual(len(lines), most)
+                client = self.client(ask(1))  # the list it started with serves
+                at_server = self.accept(server)
+                read_message(at_server)
+                at_server.sendall(reply(b"still"))
+                self.assertTrue(read_message(client).endswith(b"still"))
+                self.end()
+
     def test_a_line_to_discovery_that_went_dead_is_left_within_seconds(self) -> None:
         agent, old, new = self.listener(), self.listener(), self.listener()
         self.start(old, discovery=address(agent))
