As an old process ends its idle clients, whoever has begun a request may finish it

Now only those who have begun nothing are ended; the others go with their answer, or with the process. The new test fails without the change.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -389,8 +389,12 @@
             client.stream.notify()
 
     def part_some(self) -> None:
-        """End a few idle connections, the longest idle first, and more soon: each is looked at right before."""
-        idle = sorted((client for client in self.clients if not client.busy), key=lambda client: client.since)
+        """End a few idle connections, the longest idle first, and more soon: each is looked at right before.
+
+        Whoever has begun a request is not idle: it ends with its answer.
+        """
+        idle = sorted((client for client in self.clients if not client.busy and not client.http.begun),
+                      key=lambda client: client.since)
         for client in idle[:ROOM]:
             client.until = 0.0
             client.stream.notify()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -115,6 +115,21 @@
         self.assertIsNone(second.poll())
         self.program = second
 
+    def test_a_request_that_has_begun_as_the_idle_are_ended_is_still_answered(self) -> None:
+        server = self.listener()
+        first = self.start(server)
+        client = self.client(ask(1))
+        at_server = self.accept(server)
+        self.serve(at_server, client, b"one")
+        self.second()
+        self.heard("a newer process of this gateway is ready")
+        first.send_signal(signal.SIGTERM)
+        time.sleep(2.4)  # the idle are ended 2.75 s after SIGTERM
+        client.sendall(ask(2)[:40])
+        time.sleep(0.6)
+        client.sendall(ask(2)[40:])
+        self.assertTrue(self.serve(at_server, client, b"two").endswith(b"two"))
+
     def test_an_idle_client_that_never_asks_again_does_not_hold_the_old_process_past_the_kill(self) -> None:
         server = self.listener()
         first = self.start(server)
