State that nothing reads or that follows from other state is out, after rereading

Behaviour is the same.

Looked at and left: the head of a large chunked body is vetted before it is kept and read again as the request begins (once a body, and a Broken must come early); mgmt reads its file by its stat where handover.read does not care; the pairs that `duplicates` lists are tests' shapes, not logic.

--- a/petrelhall/decide/gossip.py
+++ b/petrelhall/decide/gossip.py
@@ -11,7 +11,7 @@
 
 VERSION = b"\x03"
 USE, OPEN = struct.Struct("<IBB"), struct.Struct("<IB")
-MOST = (256 - len(VERSION) - 1) // USE.size  # uses that a message of 256 bytes holds
+ROOM = 256 - len(VERSION) - 1  # bytes that a message holds for entries
 AGE = 0  # among the codes of customers: the sender's age in seconds
 MISSED = 16  # half units that a lost message or two may have told: more is another count, begun anew
 MOST_SUMS = 20000  # kept of what was told and heard: a full table begins anew
@@ -39,8 +39,8 @@
          sums: dict[int, int] | None = None) -> tuple[bytes, dict[int, float], dict[int, int]]:
     """Write as many as a message holds, attempts out first, and give back the rest."""
     opens, entries = list(opened.items()), list(told.items())
-    most = (256 - len(VERSION) - 1) // OPEN.size
-    room = max(0, 256 - len(VERSION) - 1 - OPEN.size * len(opens[:most])) // USE.size
+    most = ROOM // OPEN.size
+    room = (ROOM - OPEN.size * len(opens[:most])) // USE.size
     return encode(entries[:room], opens[:most], sums), dict(entries[room:]), dict(opens[most:])
 
 
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -49,7 +49,7 @@
     def __init__(self, config: Config, log: Log, operator: File, operator_path: str = "") -> None:
         self.config, self.log, self.operator, self.operator_path = config, log, operator, operator_path
         self.loop, self.counts, self.fleet = Loop(log), Counts(), Fleet(config.areas)
-        self.stopping = self.succeeded = False  # told to end; a newer process has taken over
+        self.stopping = False
         self.counter: CounterClient | None = None
         self.mind_signals()  # before anyone can connect: unminded, any of them ends the program at once
         settings = config.settings
@@ -88,7 +88,7 @@
 
     def ready(self) -> bool:
         """Tell whether this process takes clients: it listens, is not ending, and knows servers to send to."""
-        return not (self.stopping or self.succeeded or self.front.closing) and bool(self.fleet.addresses)
+        return not self.stopping and not self.front.closing and bool(self.fleet.addresses)
 
     def say_ready(self) -> bool:
         """Tell operators whether this process takes clients; the process that it replaces hears of it first."""
@@ -214,7 +214,6 @@
 
     def hand_over(self) -> None:
         """A newer process of this gateway is ready: what is new is its; this one ends with its last client."""
-        self.succeeded = True
         if self.peers is not None:
             self.peers.only_speak()
         self.front.hand_over()
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -40,12 +40,12 @@
     ``broken`` tells how it ended where it did not come whole.
     """
 
-    __slots__ = ("source", "length", "first", "spent", "whole", "broken", "late")
+    __slots__ = ("source", "length", "first", "spent", "broken", "late")
 
     def __init__(self, source: ServerSide, length: int | None, first: bytes) -> None:
         self.source, self.length = source, length
         self.first = first  # what had come of it, until that is passed on
-        self.spent = self.whole = False
+        self.spent = False
         self.broken: Broken | None = None
         self.late: Callable[[], bool] = lambda: False  # whether the client has run out of time to send
 
@@ -54,7 +54,6 @@
         if self.broken is None:
             came = self.source.more_body()
             if not isinstance(came, Broken):
-                self.whole = came[1]
                 if came[0] or came[1] or not self.late():
                     return came
                 came = Broken(408, "body did not come whole")
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -109,7 +109,7 @@
             asked_at = 0.0
             if rest is not None:
                 allowed = until - now_ms()  # counts from the body's last byte
-                failed = yield from self.pour(connection, rest, timers, stopped)
+                failed = yield from self.pour(connection, rest, stopped)
                 if failed is not None:
                     return failed
                 asked_at = now_ms()
@@ -144,8 +144,7 @@
             if not handed:
                 self.release(connection, keep, cause)
 
-    def pour(self, connection: Connection, rest: Inflow, timers: list[Timer],
-             stopped: Callable[[], bool]) -> Steps[Result | None]:
+    def pour(self, connection: Connection, rest: Inflow, stopped: Callable[[], bool]) -> Steps[Result | None]:
         """Pass a body on as it comes, reading the client only as fast as the box reads.
 
         Gives None once it is all written, or the box has answered before; else how the attempt ended. What broke
