Gateways know each other: members, lives, sides, own stalls; a network of faults to prove it

A peer that was dead, stalled, cut off one way or back empty was a lack of words, and no gateway knew that it disagreed or had itself been away.

Change: `members/` (pure: core, words, paces as formulas of the settings, pooled findings about boxes, views compared), its shell `gateway/membership.py`, GET /control/members, `petrelhall members`, `petrelhall drill members` over `standins/network.py` (a relay for each ordered pair), a judge that shares no code (`standins/history.py`), simulated time (`emulate/`). Off by default; off, nothing of it is loaded, and it is off in `run`. A way not taken: SWIM's probes, which test links, so that bridges and one-way cuts look like failures, and cost two words where one does (docs/design/members.md weighs four ways).

Found on the way and mended: the stand-ins' relay dropped messages to single gateways; a second SIGTERM during the interpreter's end made the exit code -15.

--- a/petrelhall/boxes/fleet.py
+++ b/petrelhall/boxes/fleet.py
@@ -28,6 +28,7 @@
         # The operators' word wins over discovery's: a server taken out drains, whatever the list says, and one
         # put back has started anew at that moment, since it was restarted meanwhile and comes back cold.
         self.bans = Bans("")
+        self.left_out: frozenset[str] = frozenset()  # what several gateways found bad, for a while
         self.ever: set[str] = set()  # ids that were ever listed here: only those may be taken out
 
     def take(self, listing: Any, kind: str | None = None) -> api.ServerList:
@@ -79,7 +80,7 @@
         address = ("", 0) if gone and not entry.get("addr") else parse_address(str(entry.get("addr")))
         weight = entry.get("weight")
         pool = self.label(entry)
-        out = (pool is None or self.bans.holds(entry["id"])) and not gone
+        out = (pool is None or self.bans.holds(entry["id"]) or entry["id"] in self.left_out) and not gone
         since = max(float(entry.get("started_ms") or 0.0), self.bans.back_at(entry["id"]))
         server = api.Server(
             entry["id"], self.zone(entry.get("zone")), int(entry.get("cell") or 0),
--- a/petrelhall/cli/main.py
+++ b/petrelhall/cli/main.py
@@ -6,6 +6,8 @@
 
 from petrelhall.cli.check import check
 from petrelhall.cli.demo import demo
+from petrelhall.cli.drill import drill
+from petrelhall.cli.members import members
 from petrelhall.cli.schema import schema
 from petrelhall.cli.shift import shift
 from petrelhall.cli.soak import soak
@@ -23,5 +25,5 @@
     """
 
 
-for command in (check, schema, demo, shift, soak, standin):
+for command in (check, schema, demo, drill, members, shift, soak, standin):
     main.add_command(command)
--- a/petrelhall/control/calls.py
+++ b/petrelhall/control/calls.py
@@ -1,6 +1,7 @@
 """The management calls, read from a request's method and target; nothing here reads a socket.
 
-Source: the operators' page: ``GET /control/ready``, ``POST /control/servers/ID/offline`` and ``.../online``.
+Source: the operators' page: ``GET /control/ready``, ``POST /control/servers/ID/offline`` and ``.../online``. Ours:
+``GET /control/members``.
 """
 
 from __future__ import annotations
@@ -10,17 +11,19 @@
 from urllib.parse import unquote_to_bytes
 
 PREFIX = b"/control/"
+VIEWS = {b"/control/members": "members"}
 SERVER = re.compile(rb"/control/servers/([^/?#]{1,256})/(offline|online)")
 ID = re.compile(r"[\x21-\x7e]{1,200}", re.ASCII)  # printable, without spaces: what discovery's ids are made of
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A call in good form: ``ready``, or a server (by its id in discovery) to be taken ``out`` or back."""
+    """A call in good form: ``ready``, a ``view``, or a server (by its id in discovery) to be taken ``out`` or back."""
 
     ready: bool = False
     server: str = ""
     out: bool = False
+    view: str = ""  # of which part of the gateway
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +39,8 @@
     path = target.partition(b"?")[0]
     if path == b"/control/ready":
         return Call(ready=True) if method in (b"GET", b"HEAD") else Wrong(405, "ready takes GET")
+    if path in VIEWS:
+        return Call(view=VIEWS[path]) if method in (b"GET", b"HEAD") else Wrong(405, "views take GET")
     found = SERVER.fullmatch(path)
     if found is None:
         return Wrong(404, "no such call")
--- /dev/null
+++ b/petrelhall/emulate/__init__.py
@@ -0,0 +1,1 @@
+"""The world in simulated time, round the same pure cores."""
--- a/petrelhall/gateway/mgmt.py
+++ b/petrelhall/gateway/mgmt.py
@@ -10,6 +10,9 @@
 import select
 import tempfile
 from collections.abc import Callable
+from typing import Any
+
+import ujson
 
 from petrelhall.boxes.fleet import Fleet
 from petrelhall.control.bans import BansError, decode
@@ -47,6 +50,7 @@
                  gateway: str) -> None:
         self.loop, self.fleet, self.ready, self.tell, self.counts, self.log = loop, fleet, ready, tell, counts, log
         self.callers: list[Caller] = []  # oldest first
+        self.views: dict[str, Callable[[], Any]] = {}  # of the parts that are on, by name
         fleet.bans.gateway = gateway
         self.path = os.path.join(tempfile.gettempdir(), f"petrelhall-{gateway}-servers-out.json")
         self.seen: tuple[int, int, int] | None = None  # the file as last read or written: inode, size, mtime
@@ -96,10 +100,14 @@
                     self.counts.add("control", "silent")
                     return
                 asked = Broken(408, "call did not come whole")
-            status = self.answer(asked if isinstance(asked, Broken) else read_call(asked.method, asked.target))
+            call = asked if isinstance(asked, Broken) else read_call(asked.method, asked.target)
+            status = self.answer(call)
             self.counts.add("control", f"answered_{status}")
             caller.answered = True
-            caller.http.answer(status, [], REASONS.get(status, b"no\n"), True)
+            content = REASONS.get(status, b"no\n")
+            if status == 200 and isinstance(call, Call) and call.view:
+                content = ujson.dumps(self.views[call.view]()).encode()
+            caller.http.answer(status, [], content, True)
             until = now_ms() + SEND_MS
             self.loop.at(until, self.loop.this_task().wake)
             while caller.stream.outgoing and not caller.stream.ended and now_ms() < until:
@@ -115,6 +123,8 @@
             return call.status
         if call.ready:
             return 200 if self.ready() else 503
+        if call.view:
+            return 200 if call.view in self.views else 404
         if call.server not in self.fleet.ever and call.server not in self.fleet.bans.marks:
             return 404
         self.look()  # the other process may have heard a later word
--- a/petrelhall/gateway/peers.py
+++ b/petrelhall/gateway/peers.py
@@ -12,7 +12,9 @@
 from petrelhall.net.stream import Address, bound
 
 MOST = 256  # bytes in a datagram
-SHIFT = b"\x53"  # begins what gateways say of a move between pools; the module's own begin with its version
+# The first byte of a datagram says whose word it is. The module's own begin with its version, and what nobody here
+# knows goes to it as well: it drops and counts it, so that old and new programs can be mixed.
+SHIFT = b"\x53"  # a move between pools
 
 
 class Peers:
@@ -22,7 +24,8 @@
                  tell: Callable[[api.PeerMessage], None], counts: Counts) -> None:
         self.numbers = {peer: number for number, peer in enumerate(peers) if number != position}
         self.peers, self.everyone, self.tell, self.counts = peers, everyone, tell, counts
-        self.on_shift: Callable[[int, bytes], None] = lambda number, content: None
+        self.on_word: dict[int, Callable[[int, bytes], None]] = {}  # by first byte
+        self.on_sign: Callable[[int], None] | None = None  # told of who spoke, whatever it said to others' ears
         self.sock = bound(own, socket.SOCK_DGRAM)
         loop.register(self.sock.fileno(), select.EPOLLIN, self.on_ready)
 
@@ -60,7 +63,9 @@
             self.counts.add("peers", "dropped")
             return
         self.counts.add("peers", "received")
-        if content[:1] == SHIFT:
-            self.on_shift(number, content)
-        else:
-            self.tell(api.PeerMessage(number, content))
+        take = self.on_word.get(content[0]) if content else None
+        if take is not None:
+            return take(number, content)
+        if self.on_sign is not None:
+            self.on_sign(number)
+        self.tell(api.PeerMessage(number, content))
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import gc
 import os
 import resource
@@ -21,7 +22,7 @@
 from petrelhall.gateway.front import CLOSE_MS, Front
 from petrelhall.gateway.handover import CALM_LOOK_MS, LOOK_MS, Handover
 from petrelhall.gateway.mgmt import CALLERS, Management
-from petrelhall.gateway.peers import Peers
+from petrelhall.gateway.peers import SHIFT, Peers
 from petrelhall.gateway.platform import Platform
 from petrelhall.gateway.requests import Desk
 from petrelhall.http.room import Room
@@ -35,6 +36,7 @@
 from petrelhall.operator.settings import File
 
 if TYPE_CHECKING:
+    from petrelhall.gateway.membership import Membership
     from petrelhall.gateway.shifting import Shifter
 
 OWN_SOCKETS = 40  # descriptors for all but clients and servers, with some to spare
@@ -49,13 +51,13 @@
     def __init__(self, config: Config, log: Log, operator: File, operator_path: str = "") -> None:
         self.config, self.log, self.operator, self.operator_path = config, log, operator, operator_path
         self.loop, self.counts, self.fleet = Loop(log), Counts(), Fleet(config.areas)
-        self.stopping = False
+        self.stopping = self.serving = False
         self.counter: CounterClient | None = None
         self.mind_signals()  # before anyone can connect: unminded, any of them ends the program at once
         settings = config.settings
         self.handover = Handover(config.name, log.write)
         self.handover.alone(config.listen)
-        self.module = Gateway(settings, config.seed)
+        self.module = Gateway(self.module_settings(), config.seed)
         self.dispatcher = Dispatcher(self.loop, self.module, self.counts, log)
         platform = Platform(settings, config.classes, config.plans)
         own = OWN_SOCKETS + (CALLERS if config.mgmt else 0)
@@ -70,6 +72,7 @@
         self.desk = desk
         self.shifter: Shifter | None = None
         self.peers: Peers | None = None
+        self.membership: Membership | None = None
         self.join_others()
         self.dispatcher.tell(api.Started())
         self.shift()
@@ -78,17 +81,20 @@
         self.front = Front(self.loop, config.listen, platform, desk, lambda: bool(self.fleet.addresses),
                            self.counts, log, clients, body_room)
         self.front.on_empty = self.loop.stop
+        self.serving = True
         self.mgmt: Management | None = None
         if config.mgmt is not None:
             self.mgmt = Management(self.loop, config.mgmt, self.fleet, self.say_ready, self.dispatcher.tell,
                                    self.counts, log.write, config.name)
             self.dispatcher.tell(self.fleet.relabel())  # servers that the operators took out before this start
+            if self.membership is not None:
+                self.mgmt.views["members"] = self.membership.view
         look_ms = LOOK_MS if config.mgmt is not None else CALM_LOOK_MS
         self.handover.watch(self.loop, look_ms, self.ready, self.hand_over, self.snapshot)
 
     def ready(self) -> bool:
         """Tell whether this process takes clients: it listens, is not ending, and knows servers to send to."""
-        return not self.stopping and not self.front.closing and bool(self.fleet.addresses)
+        return not self.stopping and self.serving and not self.front.closing and bool(self.fleet.addresses)
 
     def say_ready(self) -> bool:
         """Tell operators whether this process takes clients; the process that it replaces hears of it first."""
@@ -96,6 +102,21 @@
             self.handover.look_now()
         return self.ready()
 
+    def knows_others(self) -> bool:
+        """Tell whether the operators want membership and the platform allows it."""
+        config = self.config
+        return bool(self.operator.members.on and config.settings.peers and config.settings.gateways > 1
+                    and config.peer_listen and config.peers_all and config.settings.peer_messages_per_s > 0
+                    and len(config.peers) == config.settings.gateways)
+
+    def module_settings(self) -> api.Settings:
+        """Give the settings as the module gets them: the messages that membership takes are not the module's."""
+        settings = self.config.settings
+        if not self.knows_others():
+            return settings
+        left = settings.peer_messages_per_s * (1.0 - self.operator.members.share)
+        return dataclasses.replace(settings, peer_messages_per_s=left)
+
     def join_others(self) -> None:
         """Open the ways to the other gateways that the configuration names."""
         config, tell = self.config, self.dispatcher.tell
@@ -103,6 +124,12 @@
             self.peers = Peers(self.loop, config.peer_listen, config.peers, config.peers_all,
                           config.settings.position, tell, self.counts)
             self.dispatcher.to_peers = self.peers.send
+            if self.knows_others():
+                from petrelhall.gateway.membership import Membership
+                self.membership = Membership(self.loop, self.peers, self.operator.members, config.settings,
+                                             config.name, config.seed, self.fleet, tell, self.ready, self.counts,
+                                             self.log.write)
+                self.desk.witness = self.membership.saw
         if config.settings.counter and config.counter:
             self.counter = self.counter_at(config.counter)
 
@@ -116,7 +143,7 @@
             self.shifter = Shifter(self.loop, self.fleet, self.pool.plan, self.dispatcher.tell, self.counts, self.log,
                                    self.config.classes, self.config.plans)
             if self.peers is not None:
-                self.shifter.to_peers, self.peers.on_shift = self.peers.send, self.shifter.heard
+                self.shifter.to_peers, self.peers.on_word[SHIFT[0]] = self.peers.send, self.shifter.heard
         self.shifter.configure(settings)
         self.desk.sides = self.shifter if settings is not None else None
 
@@ -148,6 +175,8 @@
         self.counts.add("reload", "taken")
         changes = differences(self.operator, operator)
         if changes:
+            if operator.members != self.operator.members:
+                self.log.write("operators' file: members takes hold at the next start")
             self.operator = operator
             self.pool.plan.configure(operator.links)
             self.shift()
@@ -176,6 +205,7 @@
         gc.freeze()  # what is here now stays: no collection needs to look at it again
         gc.set_threshold(GARBAGE, 20, 50)  # requests leave no cycles: connections alone do, and those are few
         self.loop.run()
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)  # it ends already: the interpreter's own end would die of it
         self.log.write(str(self.counts))
         for line in self.pool.describe()[:1] + (self.shifter.describe() if self.shifter else []):
             self.log.write(line)
@@ -214,6 +244,8 @@
 
     def hand_over(self) -> None:
         """A newer process of this gateway is ready: what is new is its; this one ends with its last client."""
+        if self.membership is not None:
+            self.membership.hand_over()
         if self.peers is not None:
             self.peers.only_speak()
         self.front.hand_over()
@@ -223,6 +255,8 @@
         if not self.stopping:
             self.handover.look_now()  # a newer process may have spoken since the last look
             self.stopping = True
+            if self.membership is not None:
+                self.membership.leave()
             longest = max(kind.deadline_ms for kind in self.config.settings.classes)
             self.front.stop(longest)
             self.loop.after(CLOSE_MS + longest + LAST_MS, self.loop.stop)  # nobody waits any more
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -120,6 +120,7 @@
         self.loop, self.tell, self.servers, self.counts = loop, tell, servers, counts
         self.retry_after_ms = retry_after_ms
         self.sides: Sides | None = None  # none: any box for any request
+        self.witness: Callable[[str, Ending], None] | None = None  # hears how attempts at boxes ended
         self.tickets: dict[int, Ticket] = {}
         self.last = 0
 
@@ -181,6 +182,8 @@
                     order.server, request.message, last, lambda: caller.gone or bool(ticket.orders),
                     request.free)
                 self.counts.add("sent", result.ending.value)
+                if self.witness is not None:
+                    self.witness(order.server, result.ending)
                 may_have_run |= result.reach > Reach.UNWRITTEN and result.ending is not Ending.FULL
                 if caller.gone:  # before the attempt's end is told: no further one may follow from it
                     self.tell(api.ClientGone(ticket.id))
--- a/petrelhall/operator/settings.py
+++ b/petrelhall/operator/settings.py
@@ -153,8 +153,22 @@
     move: Move | None = None
 
 
+class Membership(Struct, frozen=True, forbid_unknown_fields=True):
+    """What gateways know of each other. Takes hold at a start."""
+
+    on: Annotated[bool, Meta(description="off wherever the platform's settings do not let gateways speak")] = False
+    share: Annotated[float, Meta(ge=0.01, le=0.5, description=(
+        "share of the messages that a gateway takes in a second; what it leaves is the other parts'"))] = 0.1
+    late_ms: Annotated[float, Meta(ge=1.0, le=5000.0, description=(
+        "longest time that a message between gateways takes in ordinary times; doubts wait for it"))] = 300.0
+    boxes_out: Annotated[float, Meta(ge=0.0, le=0.5, description=(
+        "share of the boxes, rounded down, that are left out at most because several gateways find them bad; 0 "
+        "leaves none out"))] = 0.2
+
+
 class File(Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     links: Links = Links()
     shift: Shift | None = None
+    members: Membership = Membership()
