Quotas and ceilings owned in shares hold while gateways are cut off, dead or back empty

Observed: four gateways, six districts asking twice 40 units/s, units counted at the boxes: a split 2|2 of 12 s passes a quota by 462 units, a one-way cut by 61. Cause: each gateway spends from its own picture of one store, corrected by peers' sums; what it does not hear is spent again (`Customer.fill`, `others_used`). Ruled out: late words alone (0 beyond).

Change: `quota/` (pure): a gateway owns burst / n filled at rate / n; units move by loans that are deducted before they are told, with a life counted from the ask by the borrower and 3% longer by the lender; a start owns nothing until an earlier life's loans are over. Off by default and in `run`.

--- a/petrelhall/cli/drill.py
+++ b/petrelhall/cli/drill.py
@@ -13,11 +13,17 @@
 from rich.table import Table
 
 from petrelhall.cli.tell import OUT, as_json
+from petrelhall.operator.settings import Links
+from petrelhall.quota.bound import worst
+from petrelhall.quota.shares import MARGIN, Terms
 from petrelhall.standins.crowd import Demand
-from petrelhall.standins.drill import Drill, prepare, wrong
+from petrelhall.standins.drill import Drill, QuotaDrill, prepare, wrong
 from petrelhall.standins.strikes import Play, drawn, read, schema
 from petrelhall.standins.world import Setup, World
 
+OWNING_S = MARGIN + 2.0  # after a start in which a gateway owns nothing, and in which a front may not send to it
+LENT = 0.25  # of a quota that is lent on an even day, at most: what is lost of it is not served
+
 
 @click.group()
 def drill() -> None:
@@ -65,6 +71,60 @@
     finish(world, world.outcome(report), wrong, out, machine)
 
 
+@drill.command()
+@click.option("--gateways", default=4, show_default=True, type=click.IntRange(1, 16))
+@click.option("--seconds", default=40.0, show_default=True, type=click.FloatRange(5.0, 3600.0))
+@click.option("--districts", default=6, show_default=True, type=click.IntRange(1, 100))
+@click.option("--demand", default=2.0, show_default=True, type=click.FloatRange(0.1, 10.0), help="times the quota")
+@click.option("--script", type=click.Path(), help="troubles (JSON, see `petrelhall drill schema`); else drawn")
+@click.option("--present", is_flag=True, help="without owned shares, for comparison: nothing is stated then")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "out", type=click.Path(), help="write the figures to this file")
+@click.option("--machine", is_flag=True, help="print JSON in place of a table")
+def quota(gateways: int, seconds: float, districts: int, demand: float, script: str | None, present: bool, seed: int,
+          out: str | None, machine: bool) -> None:
+    """Quotas under faults of the network and of processes, counted at the boxes.
+
+    \b
+    Example: petrelhall drill quota --gateways 4 --seconds 40 --seed 7 --json out.json
+    Exit code 1 where a district got more beyond its quota than is stated, was served less, or a request was lost.
+    """
+    play = troubles(script, seconds, gateways, seed)
+    with tempfile.TemporaryDirectory() as folder:
+        operator = prepare(folder, {"members": {"on": not present}, "quota": {"on": not present}})
+        asked = Demand(rate=demand * districts * QuotaDrill.RATE, clients=64, districts=districts, keyed_share=0.0)
+        world = QuotaDrill(Setup(seconds, 8, gateways, asked, seed=seed, operator=operator), play)
+        world.owned = not present
+        outcome = world.outcome(asyncio.run(world.run()))
+    terms = Terms(QuotaDrill.RATE, QuotaDrill.BURST, gateways)
+    stalls = outcome.pop("stops")
+    stated = {"stated_error_units": round(worst(terms, seconds, Links().wait_ms, stalls), 1),
+              "stated_served_share": stated_served(play, terms, seconds)}
+    finish(world, {**outcome, **stated}, lambda told: [] if present else beyond(told), out, machine)
+
+
+def stated_served(play: Play, terms: Terms, seconds: float) -> float:
+    """Give the least share of a quota that is stated for a play: what gateways that are down own is nobody's."""
+    down = sum((strike.for_s + OWNING_S) * len(strike.gateways) for strike in play.strikes
+               if strike.do in ("kill", "leave", "stop", "starve", "upgrade"))
+    lost = play.noise.loss if play.strikes or play.noise.loss else 0.0
+    start = OWNING_S / seconds
+    return round(max(0.0, 0.97 - start - down / (terms.gateways * seconds) - LENT * lost), 3)
+
+
+def beyond(outcome: dict[str, Any]) -> list[str]:
+    """Give what a drill of quotas found."""
+    found = [f"upgrade: {reason}" for reason in outcome["upgrades_wrong"]]
+    if outcome["worst_error_units"] > outcome["stated_error_units"]:
+        found.append(f"{outcome['worst_error_units']} units beyond a quota, {outcome['stated_error_units']} are stated")
+    if outcome["least_served_share"] < outcome["stated_served_share"]:
+        found.append(f"{outcome['least_served_share']} of a quota served, {outcome['stated_served_share']} is stated")
+    if outcome["lost"]:
+        found.append(f"lost: {outcome['lost']}")
+    found += [f"rule broken: {name}, {count} times" for name, count in outcome["broken"].items()]
+    return found + [f"a gateway ended with exit code {code}" for code in outcome["exit_codes"] if code]
+
+
 def troubles(script: str | None, seconds: float, gateways: int, seed: int) -> Play:
     """Read the script, or draw one."""
     if script is None:
--- a/petrelhall/control/calls.py
+++ b/petrelhall/control/calls.py
@@ -1,7 +1,7 @@
 """The management calls, read from a request's method and target; nothing here reads a socket.
 
 Source: the operators' page: ``GET /control/ready``, ``POST /control/servers/ID/offline`` and ``.../online``. Ours:
-``GET /control/members``.
+``GET /control/members`` and ``/control/quota``.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from urllib.parse import unquote_to_bytes
 
 PREFIX = b"/control/"
-VIEWS = {b"/control/members": "members"}
+VIEWS = {b"/control/members": "members", b"/control/quota": "quota"}
 SERVER = re.compile(rb"/control/servers/([^/?#]{1,256})/(offline|online)")
 ID = re.compile(r"[\x21-\x7e]{1,200}", re.ASCII)  # printable, without spaces: what discovery's ids are made of
 
--- a/petrelhall/decide/dawn.py
+++ b/petrelhall/decide/dawn.py
@@ -41,4 +41,6 @@
 def fill(customer: Customer) -> None:
     """Put into a store what was left out of it for as long as this was not known."""
     plan = customer.plan
+    if customer.owned is not None:
+        customer.owned.fill(customer.filled)
     customer.shared = min(plan.burst, customer.shared + plan.burst * (1.0 - customer.even))
--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -507,8 +507,8 @@
                 # Of many, a slice is under one request: it would give nobody any until news comes.
                 left = left_of(plan, used, self.now) if heard or self.many else 0.0
                 customer.shared = max(plan.burst * customer.even, left)
-            idle = min(KEEP_MS, self.now - self.started)  # its part has filled since our own start
-            customer.cap = customer.even * plan.ceiling_rate * idle / 1000.0
+            customer.cap = customer.even * plan.ceiling_rate * min(KEEP_MS, self.now - self.started) / 1000.0
+            customer.owned = self.owner.account(customer, self.now) if self.owner else None
             self.customers[event.customer] = self.codes[code] = customer
         self.refill(customer)
         if not self.timed(customer) or self.now - customer.seen > RATE_MS:  # too seldom for rates
--- a/petrelhall/decide/snapshot.py
+++ b/petrelhall/decide/snapshot.py
@@ -74,6 +74,8 @@
     except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
         raise SnapshotError(f"not in the form: {error!r}") from None
     memory.customers, memory.codes = customers, {known.code: known for known in customers.values()}
+    for known in customers.values():
+        known.owned = memory.owner.account(known, now) if memory.owner is not None else None
     for name, value in zip(MEMORY, plain, strict=True):
         setattr(memory, name, value)
     memory.waits, memory.shares = waits, shares
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -5,10 +5,34 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from petrelhall.decide.interface import Action, Arrival, Plan, RequestClass, Server
 
 
+class Owned(Protocol):
+    """What this gateway owns of a customer's quota and ceiling, where shares are owned."""
+
+    def available(self, now: float) -> tuple[float, float]:
+        """Give the units of the quota and of the ceiling that may be spent now; infinite where the plan has none."""
+
+    def want(self, now: float, units: float) -> None:
+        """Hear that units are asked for."""
+
+    def spend(self, now: float, units: float) -> None:
+        """Book units as spent."""
+
+    def fill(self, now: float) -> None:
+        """Hear that all gateways began together: nobody had used anything before."""
+
+
+class Owner(Protocol):
+    """Whoever keeps the shares."""
+
+    def account(self, customer: Customer, now: float) -> Owned | None:
+        """Give what is owned of a customer; None where the stores here are to decide."""
+
+
 @dataclass(eq=False)
 class Customer:
     """One customer as seen from here; stores in units, rates in units/s."""
@@ -37,6 +61,7 @@
     unsaid: float = 0.0  # to be added with the next call
     total_of: int = -1  # and the name that it was of
     open: int = 0
+    owned: Owned | None = None  # decides in place of the stores above
     elsewhere: dict[int, tuple[float, float]] = field(default_factory=dict)  # out at each peer, and when told
     pairs: list[tuple[float, float]] = field(default_factory=list)  # the column: units and pressure
     runs: int = 0  # tests in a row that flagged it
@@ -55,6 +80,11 @@
         self.shared = min(self.plan.burst, shared)
         self.spilled += shared - self.shared
         self.cap = min(cap_most, self.cap + cap_rate * elapsed)
+        if self.owned is not None:
+            units, cap = self.owned.available(self.filled)
+            if units < math.inf:
+                self.bucket = self.shared = units
+            self.cap = cap if cap < math.inf else self.cap
         self.cut_store = min(1.0 + self.cut_rate, self.cut_store + self.cut_rate * elapsed)
 
     def fade(self, factor: float, others: bool) -> None:
@@ -74,11 +104,15 @@
     def ask(self, now: float, units: float, rate: float) -> None:
         """Book what it asks for."""
         self.seen, self.units, self.demand = now, self.units + units, self.demand + rate
+        if self.owned is not None:
+            self.owned.want(now, units)
 
     def send(self, units: float, rate: float) -> None:
         """Book what is sent on for it, beside the quota."""
         self.cap, self.cut_store = self.cap - units, self.cut_store - units
         self.sent += rate
+        if self.owned is not None:
+            self.owned.spend(self.filled, units)
 
     def leave_column(self) -> None:
         """Lose the column and what followed from it."""
@@ -205,6 +239,7 @@
     """All that one gateway holds; every start begins with an empty one."""
 
     now: float = 0.0
+    owner: Owner | None = None
     started: float = 0.0
     actions: list[Action] = field(default_factory=list)
     customers: dict[str, Customer] = field(default_factory=dict)
--- a/petrelhall/gateway/membership.py
+++ b/petrelhall/gateway/membership.py
@@ -90,6 +90,10 @@
         told = ujson.dumps({"at_ms": round(now), "self": self.core.life, **line}, escape_forward_slashes=False)
         self.log(f"member {told}")
 
+    def reachable(self, number: int) -> bool:
+        """Tell whether it makes sense to ask a member anything: one that is heard both ways, or nobody is yet."""
+        return number in self.core.side or len(self.core.side) == 1
+
     def leave(self) -> None:
         """Tell the others that this process ends."""
         if not self.core.quiet:
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -37,6 +37,7 @@
 
 if TYPE_CHECKING:
     from petrelhall.gateway.membership import Membership
+    from petrelhall.gateway.sharing import Sharing
     from petrelhall.gateway.shifting import Shifter
 
 OWN_SOCKETS = 40  # descriptors for all but clients and servers, with some to spare
@@ -73,6 +74,7 @@
         self.shifter: Shifter | None = None
         self.peers: Peers | None = None
         self.membership: Membership | None = None
+        self.sharing: Sharing | None = None
         self.join_others()
         self.dispatcher.tell(api.Started())
         self.shift()
@@ -89,6 +91,8 @@
             self.dispatcher.tell(self.fleet.relabel())  # servers that the operators took out before this start
             if self.membership is not None:
                 self.mgmt.views["members"] = self.membership.view
+            if self.sharing is not None:
+                self.mgmt.views["quota"] = self.sharing.view
         look_ms = LOOK_MS if config.mgmt is not None else CALM_LOOK_MS
         self.handover.watch(self.loop, look_ms, self.ready, self.hand_over, self.snapshot)
 
@@ -110,12 +114,12 @@
                     and len(config.peers) == config.settings.gateways)
 
     def module_settings(self) -> api.Settings:
-        """Give the settings as the module gets them: the messages that membership takes are not the module's."""
-        settings = self.config.settings
-        if not self.knows_others():
+        """Give the settings as the module gets them: messages that other parts take are not the module's."""
+        settings, operator = self.config.settings, self.operator
+        taken = operator.members.share * self.knows_others() + operator.quota.share * operator.quota.on
+        if not taken or not settings.peers:
             return settings
-        left = settings.peer_messages_per_s * (1.0 - self.operator.members.share)
-        return dataclasses.replace(settings, peer_messages_per_s=left)
+        return dataclasses.replace(settings, peer_messages_per_s=settings.peer_messages_per_s * (1.0 - taken))
 
     def join_others(self) -> None:
         """Open the ways to the other gateways that the configuration names."""
@@ -130,6 +134,13 @@
                                              config.name, config.seed, self.fleet, tell, self.ready, self.counts,
                                              self.log.write)
                 self.desk.witness = self.membership.saw
+        if self.operator.quota.on:
+            from petrelhall.gateway.sharing import Sharing
+            self.sharing = Sharing(self.loop, self.peers, self.operator.quota, config.settings, config.seed,
+                                   self.ready, self.counts)
+            self.module.owner = self.sharing
+            if self.membership is not None:
+                self.sharing.ledger.reachable = self.membership.reachable
         if config.settings.counter and config.counter:
             self.counter = self.counter_at(config.counter)
 
@@ -175,8 +186,9 @@
         self.counts.add("reload", "taken")
         changes = differences(self.operator, operator)
         if changes:
-            if operator.members != self.operator.members:
-                self.log.write("operators' file: members takes hold at the next start")
+            for part in ("members", "quota"):
+                if getattr(operator, part) != getattr(self.operator, part):
+                    self.log.write(f"operators' file: {part} takes hold at the next start")
             self.operator = operator
             self.pool.plan.configure(operator.links)
             self.shift()
@@ -246,6 +258,8 @@
         """A newer process of this gateway is ready: what is new is its; this one ends with its last client."""
         if self.membership is not None:
             self.membership.hand_over()
+        if self.sharing is not None:
+            self.sharing.hand_over()
         if self.peers is not None:
             self.peers.only_speak()
         self.front.hand_over()
--- /dev/null
+++ b/petrelhall/gateway/sharing.py
@@ -0,0 +1,119 @@
+"""Carries out owned shares on sockets: the module's customers get accounts, words go out within their budget."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from petrelhall.decide import interface as api
+from petrelhall.decide.state import Customer
+from petrelhall.gateway.peers import Peers
+from petrelhall.net.counts import Counts
+from petrelhall.net.loop import Loop, now_ms
+from petrelhall.operator.settings import Quota as Settings
+from petrelhall.quota.ledger import TURN_MS, Account, Action, Ledger, Send
+from petrelhall.quota.shares import Terms
+from petrelhall.quota.words import KIND
+
+FORGET_MS = 5000.0
+NONE = math.inf  # of a plan without a quota or a ceiling
+
+
+class Owned:
+    """What this gateway owns of one customer."""
+
+    __slots__ = ("ledger", "quota", "ceiling")
+
+    def __init__(self, ledger: Ledger, quota: Account | None, ceiling: Account | None) -> None:
+        self.ledger, self.quota, self.ceiling = ledger, quota, ceiling
+
+    def available(self, now: float) -> tuple[float, float]:
+        """Give the units of the quota and of the ceiling that may be spent now."""
+        return (self.quota.share.available(now) if self.quota is not None else NONE,
+                self.ceiling.share.available(now) if self.ceiling is not None else NONE)
+
+    def want(self, now: float, units: float) -> None:
+        """Hear that units are asked for."""
+        for account in (self.quota, self.ceiling):
+            if account is not None:
+                self.ledger.want(account, now, units)
+
+    def spend(self, now: float, units: float) -> None:
+        """Book units as spent."""
+        for account in (self.quota, self.ceiling):
+            if account is not None:
+                account.share.spend(now, units)
+
+    def fill(self, now: float) -> None:
+        """All gateways began together: what is owned is there in full."""
+        self.ledger.dawn(now)
+
+
+class Sharing:
+    """One gateway's shares; not there where the operators' file does not ask for them."""
+
+    def __init__(self, loop: Loop, peers: Peers | None, settings: Settings, platform: api.Settings, seed: int,
+                 ready: Callable[[], bool], counts: Counts) -> None:
+        self.loop, self.peers, self.platform, self.ready, self.counts = loop, peers, platform, ready, counts
+        now = now_ms()
+        # Half of what may come in is others' asks and loans for asks of this gateway: as much goes out.
+        per_s = settings.share * platform.peer_messages_per_s if peers is not None else 0.0
+        self.ledger = Ledger(platform.position, max(1, math.floor(now / 10.0) & 0xFFFFFFFF), per_s, seed, now)
+        self.swept = now
+        if peers is not None:
+            peers.on_word[KIND] = self.heard
+        self.begun = self.ended = False
+        loop.after(TURN_MS, self.turn)
+
+    def account(self, customer: Customer, now: float) -> Owned | None:
+        """Give what is owned of a customer; plans whose cost is known only afterwards keep the module's stores."""
+        plan = customer.plan
+        if self.platform.cost_after:
+            return None
+        others = customer.others_of_set(self.platform.position, self.platform.gateways)
+        if self.peers is None:
+            others = ()
+        size = max(1, min(customer.set_size, self.platform.gateways))
+        accounts: list[Account | None] = []
+        for rate, burst, ceiling in ((plan.rate, plan.burst, False), (plan.ceiling_rate, plan.ceiling_burst, True)):
+            accounts.append(self.ledger.account(customer.code, ceiling, Terms(rate, burst, size), others, now)
+                            if rate > 0.0 else None)
+        return Owned(self.ledger, accounts[0], accounts[1])
+
+    def turn(self) -> None:
+        """Ask and lend."""
+        if self.ended:
+            return
+        self.loop.after(TURN_MS, self.turn)
+        now = now_ms()
+        if not self.begun and self.ready():
+            self.begun = True  # an upgrade's old process has its part until it sees that this one is ready
+            self.ledger.begin(now)
+        self.act(self.ledger.turn(now))
+        if now - self.swept >= FORGET_MS:
+            self.swept = now
+            self.ledger.forget(now, FORGET_MS)
+
+    def heard(self, number: int, content: bytes) -> None:
+        """Take in a word."""
+        self.act(self.ledger.heard(now_ms(), number, content))
+
+    def act(self, actions: list[Action]) -> None:
+        """Do as the core says."""
+        for action in actions:
+            if isinstance(action, Send):
+                if self.peers is not None:
+                    self.peers.send(action.content, (action.to,))
+                    self.counts.add("quota", "words")
+            else:
+                self.counts.add("quota", f"dropped_{action.why}")
+
+    def hand_over(self) -> None:
+        """A newer process owns this gateway's part from now on: nothing grows here any more, nothing is lent."""
+        self.ledger.freeze(now_ms())
+        self.ended = True
+
+    def view(self) -> dict[str, Any]:
+        """Give the state for operators, for ``GET /control/quota``; units since the start."""
+        return {"accounts": len(self.ledger.accounts), "lent": self.ledger.lent, "borrowed": self.ledger.borrowed}
--- a/petrelhall/operator/file.py
+++ b/petrelhall/operator/file.py
@@ -46,6 +46,10 @@
         raise OperatorError(explain(str(error), msgspec.json.decode(content))) from None
     except msgspec.DecodeError as error:
         raise OperatorError(f"not JSON: {error}") from None
+    taken = file.members.share * file.members.on + file.quota.share * file.quota.on
+    if taken > 0.9:
+        raise OperatorError(f"quota.share: {file.quota.share:g} and members.share, {file.members.share:g}, leave the "
+                            "other parts less than a tenth of the messages")
     for reason in contradictions(file.links) + (unfit(file.shift) if file.shift is not None else []):
         raise OperatorError(reason)
     return file
--- a/petrelhall/operator/settings.py
+++ b/petrelhall/operator/settings.py
@@ -166,9 +166,20 @@
         "leaves none out"))] = 0.2
 
 
+class Quota(Struct, frozen=True, forbid_unknown_fields=True):
+    """Quotas and ceilings that gateways own in shares. Takes hold at a start."""
+
+    on: Annotated[bool, Meta(description=(
+        "quotas and ceilings hold within the stated error whatever the network does, at the price of units lost on "
+        "their way; without messages between gateways each keeps to an even slice"))] = False
+    share: Annotated[float, Meta(ge=0.01, le=0.8, description=(
+        "share of the messages that a gateway takes in a second, for asks and loans"))] = 0.3
+
+
 class File(Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     links: Links = Links()
     shift: Shift | None = None
     members: Membership = Membership()
+    quota: Quota = Quota()
--- a/petrelhall/standins/crowd.py
+++ b/petrelhall/standins/crowd.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -38,6 +39,7 @@
     until: float
     keyed: bool
     gateway: int = 0  # that it was sent to
+    district: int = 0
 
 
 class Client(asyncio.Protocol):
@@ -113,6 +115,7 @@
         self.latencies: list[float] = []  # ms, of served requests
         self.made = self.asked = self.unasked = self.asked_again = 0
         self.down: set[int] = set()  # gateways that the front takes for down
+        self.on_refused: Callable[[Asked], None] | None = None
         self.troubled: dict[int, float] = {}  # gateways that were killed or stopped, and until when (monotonic)
 
     async def run(self, seconds: float) -> None:
@@ -172,7 +175,8 @@
         district = self.random.randrange(self.demand.districts)
         keyed = self.random.random() < self.demand.keyed_share
         now = time.monotonic()
-        asked = Asked(f"{self.random.getrandbits(64):016x}", now, now + self.demand.deadline_ms / 1000.0, keyed)
+        asked = Asked(f"{self.random.getrandbits(64):016x}", now, now + self.demand.deadline_ms / 1000.0, keyed,
+                      district=district)
         self.out[asked.name] = asked
         plan = self.plans[district % len(self.plans)]
         body = b"x" * self.random.randrange(400) if keyed else b""
@@ -225,6 +229,8 @@
         if status in (429, 503):
             if b"retry-after" not in fields:
                 self.judge.rule("refusal_without_advice", asked.name)
+            if self.on_refused is not None:
+                self.on_refused(asked)
             return self.done(asked, "refused")
         self.done(asked, "failed")
 
--- a/petrelhall/standins/drill.py
+++ b/petrelhall/standins/drill.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from petrelhall.standins.history import History, Moment, Said, Stated
+from petrelhall.standins.meter import Meter
 from petrelhall.standins.network import Way
 from petrelhall.standins.strikes import Play, Strike
 from petrelhall.standins.world import GatewayProcess, Setup, World, ready
@@ -241,3 +242,51 @@
     with open(path, "w") as file:
         json.dump(sections, file)
     return path
+
+
+class QuotaDrill(Drill):
+    """Districts that ask for twice their quota, counted at the boxes."""
+
+    RATE, BURST, PLAN = 40.0, 60.0, "district"
+    owned = True  # the gateways own shares
+
+    def __init__(self, setup: Setup, play: Play) -> None:
+        super().__init__(setup, play)
+        self.meter = Meter(self.RATE, self.BURST)
+        self.whose: dict[str, int] = {}
+
+    async def play(self) -> None:
+        """Count from the first request on."""
+        assert self.crowd is not None
+        crowd = self.crowd
+        crowd.plans = [self.PLAN]
+        self.judge.on_first = lambda request, now: self.meter.use(
+            crowd.out[request].district if request in crowd.out else -1, now)
+        crowd.on_refused = lambda asked: self.meter.refuse(asked.district, time.monotonic())
+        await super().play()
+
+    async def last(self) -> None:
+        """Ask what was lent, where shares are owned; boxes have counted the rest."""
+        if self.owned:
+            self.views = list(await asyncio.gather(*(view(gateway, "quota") for gateway in self.gateways)))
+
+    def outcome(self, report: dict[str, Any]) -> dict[str, Any]:
+        """Give what was counted; the stated figures are the caller's, who knows the settings."""
+        self.meter.stores.pop(-1, None)
+        gone = sum(one.do in ("kill", "leave", "stop", "starve") for one in self.strikes.strikes)
+        return {
+            "seed": self.setup.seed, "struck_processes": gone,
+            "stops": sum(one.do in ("stop", "starve") for one in self.strikes.strikes),
+            "exit_codes": self.codes + report["exit_codes"], "broken": report["broken"],
+            "units_lent": round(sum(seen["lent"] for seen in self.views)),
+            "quota_words": report["gateway_counts"].get("quota.words", 0),
+            "refused_by": {name: count for name, count in report["gateway_counts"].items()
+                           if name.startswith("refused.")},
+            "upgrades_wrong": [wrong for wrong in self.upgrades if wrong],
+            "faults": len(self.strikes.strikes), "districts": len(self.meter.stores),
+            "worst_error_units": round(self.meter.worst(), 1),
+            "least_served_share": round(self.meter.least_served(self.setup.seconds), 3),
+            "refused_with_half_unused_share": round(
+                self.meter.refused_half_unused / max(1, self.meter.refused), 4),
+            "requests": report["requests"], "lost": report["lost"] + report["spoilt"] + report["unanswered"],
+        }
--- a/petrelhall/standins/judge.py
+++ b/petrelhall/standins/judge.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from typing import Any
 
 SLACK_S = 0.05  # by which every limit in time is longer on sockets
@@ -22,6 +23,7 @@
         self.seen: Counter[str] = Counter()
         self.stale: set[str] = set()  # requests of which an attempt was written to a dead connection
         self.answers: Counter[str] = Counter()  # final answers by request
+        self.on_first: Callable[[str, float], None] | None = None  # told of each request's first attempt at a box
         self.sent_at: dict[str, list[float]] = defaultdict(list)  # monotonic times of attempts, by box
 
     def rule(self, name: str, example: str) -> None:
@@ -34,6 +36,8 @@
         self.seen["attempts"] += 1
         self.sent_at[box].append(now)
         self.attempts[request] += 1
+        if self.on_first is not None and self.attempts[request] == 1:
+            self.on_first(request, now)
         self.out[request] = self.out.get(request, 0) + 1
         if self.out[request] > 1:
             # The end of the earlier one may still be on its way here: look again when it must have come.
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -146,6 +146,60 @@
         scene.run(3.0)
         self.fine(scene)
 
+    def test_silence_that_nobody_else_has_noticed_is_a_doubt_and_no_failure(self) -> None:
+        scene = self.scene()
+        core = scene.core(0)
+        core.members[5].fresh -= 60000.0
+        for step in range(1, 5):
+            core.handle(scene.fabric.now + 120.0 * step, Tick())
+        self.assertEqual(scene.states(0), "hhhhd")
+        for other in (1, 2):
+            core.members[other].misses = 1 << 5
+        core.handle(scene.fabric.now + 600.0, Tick())
+        self.assertEqual(scene.states(0), "hhhhf")
+
+    def told(self, core: Members, now: float, table: dict[int, tuple[int, int]]) -> None:
+        """Have member 1 tell how far it knows others to be."""
+        known = core.members[1]
+        rows = b"".join(bytes(table.get(number, (core.members[number].life ^ 255 if number else 0, 0)))
+                        for number in range(6))
+        core.handle(now, Heard(1, encode(Word(1, known.life, known.seq + 1, known.counter + 1, 6, table=rows))))
+
+    def test_news_that_time_cannot_have_brought_or_of_one_that_failed_is_not_believed(self) -> None:
+        scene = self.scene()
+        core, now = scene.core(0), scene.fabric.now
+        member = core.members[4]
+        before = member.counter
+        self.told(core, now, {4: (member.life, before + 200 & 255)})
+        self.assertEqual(member.counter, before)
+        self.told(core, now, {4: (member.life, before + 1 & 255)})
+        self.assertEqual(member.counter, before + 1)
+        member.state, member.fresh = "failed", now - 60000.0
+        self.told(core, now, {4: (member.life, before + 2 & 255)})
+        self.assertEqual((member.state, member.counter), ("failed", before + 1))
+
+    def test_who_was_away_tells_of_nobody_and_nobody_is_told_of_who_is_not_here(self) -> None:
+        scene = self.scene()
+        core, now = scene.core(0), scene.fabric.now
+        core.members[3].state = "doubt"
+        word = decode(words_of(core, now + 150.0)[0])
+        assert word is not None
+        self.assertEqual(word.table[0], core.life)
+        self.assertNotEqual(word.table[6], core.members[3].life)
+        self.assertEqual(word.table[8], core.members[4].life)
+        away = decode(words_of(core, now + 9000.0)[0])
+        assert away is not None
+        self.assertEqual((away.table, away.flags), (b"", words.OLD))
+
+    def test_those_that_doubt_this_gateway_are_told_first_and_the_others_all_the_same(self) -> None:
+        core = self.scene().core(0)
+        told = []
+        for _ in range(8):
+            core.hurry(1)
+            told.append(core.whom())
+        self.assertGreaterEqual(told.count(1), 4)
+        self.assertGreaterEqual(len(set(told) - {1}), 3)
+
     def test_killed_and_started_at_once_it_is_a_new_life_and_the_old_one_never_comes_back(self) -> None:
         scene = self.scene(delay_ms=(1.0, 200.0))
         late = words_of(scene.core(3), scene.fabric.now + 150.0)
@@ -322,6 +376,8 @@
         scene.cut([1], range(6))
         scene.run(3.0)
         self.assertEqual(set(core.accusers(scene.fabric.now)), {2})
+        core.begin(scene.fabric.now, 2, 999, 1)
+        self.assertNotIn(2, core.accused)  # another life said that
 
 
 class Alone(Members):
