--- a/petrelhall/emulate/members.py
+++ b/petrelhall/emulate/members.py
@@ -13,6 +13,8 @@
 from petrelhall.members.plan import LOOK_MS, Pace, pace
 from petrelhall.standins.history import History, Moment, Said, Stated, Verdict
 
+CALM_MS = 20000.0  # between a fleet's settling and the strike, at most
+
 
 @dataclass
 class Membership:
@@ -85,7 +87,7 @@
         if settled is None and all(member.state == "here" for core in fabric.cores.values()
                                    for member in core.members.values()):
             settled = fabric.now
-        if settled is not None and fabric.now - settled >= paces.hear_ms + quiet_s * 1000.0:
+        if settled is not None and fabric.now - settled >= min(CALM_MS, paces.hear_ms) + quiet_s * 1000.0:
             break
     lost = set(fabric.random.sample(range(members), killed))
     struck = fabric.now
@@ -94,7 +96,7 @@
     else:
         for number in lost:
             fabric.kill(number)
-    fabric.run(struck + 2.0 * paces.found_ms)
+    fabric.run(struck + 1.25 * paces.found_ms)
     few = members - killed < paces.majority
     found: dict[tuple[int, int], float] = {}
     doubts = wrong = 0
--- a/petrelhall/members/core.py
+++ b/petrelhall/members/core.py
@@ -138,6 +138,8 @@
         self.clashed = float("-inf")  # when another address last claimed this gateway's number
         self.side: frozenset[int] = frozenset((number,))
         self.hears = self.misses = 0  # bitmaps, as of the last look
+        self.table = bytearray(2 * pace.members)  # as words tell it, two bytes a member
+        self.known(number)
         self.bad: tuple[int, ...] = ()  # boxes that this gateway's own attempts found bad
         self.accused: dict[int, tuple[float, tuple[int, ...]]] = {}  # by member: when, which
         self.actions: list[Action] = []
@@ -193,31 +195,26 @@
 
     def look(self, now: float) -> None:
         """Step the counter, judge every silence, and see whom this gateway hears both ways."""
-        heard, since = 0, now - self.pace.hear_ms
-        for number, member in self.members.items():
-            if member.heard >= since:
-                heard |= 1 << number
-        self.hears = heard
         steps = int((now - self.counted) / self.pace.step_ms)
         if steps:
             self.counter += steps
             self.counted += steps * self.pace.step_ms
+            self.known(self.number)
         self.stand(now, self.two_way(now))
         able = self.majority(now)
+        missed, doubted = 0, now - self.pace.doubt_ms
         for number, member in self.members.items():
-            silence = now - member.fresh
-            if silence < self.pace.doubt_ms or member.state not in ("here", "doubt"):
+            if member.fresh > doubted or member.state not in ("here", "doubt"):
+                if member.state == "failed" or member.state == "doubt":  # doubted by hearsay: not heard here either
+                    missed |= 1 << number
                 continue
+            silence = now - member.fresh
+            missed |= 1 << number
             if member.state == "here":
-                if silence >= self.pace.doubt_ms:
-                    self.put(now, number, "doubt", f"silent for {silence:.0f} ms")
+                self.put(now, number, "doubt", f"silent for {silence:.0f} ms")
             elif able and silence >= self.pace.fail_ms and self.observers(now, number) >= self.pace.observers:
                 self.put(now, number, "failed",
                          f"silent for {silence:.0f} ms, missed by {self.observers(now, number)} of {len(self.side)}")
-        missed = 0
-        for number, member in self.members.items():
-            if member.state == "doubt" or member.state == "failed":
-                missed |= 1 << number
         self.misses = missed
 
     def stand(self, now: float, side: frozenset[int]) -> None:
@@ -241,19 +238,20 @@
         A link that had no time to be measured (a start, or many members) counts where its member is fresh and enough
         other links are proven both ways; one that had its time and brought nothing, or nothing back, does not.
         """
-        hear, bit = self.pace.hear_ms, 1 << self.number
-        new = now - self.started <= hear
-        proven, likely = [self.number], []
+        since, bit = now - self.pace.hear_ms, 1 << self.number
+        new, fresh, clashed = self.started >= since, now - self.pace.doubt_ms, now - self.pace.fail_ms
+        proven, likely, hears = [self.number], [], 0
         for number, member in self.members.items():
-            if member.state not in ("here", "doubt") or now - member.fresh >= self.pace.doubt_ms:
-                continue
-            if not self.trusted(now, member):
+            if member.heard >= since:
+                hears |= 1 << number
+            if member.fresh <= fresh or member.state not in ("here", "doubt") or member.clashed >= clashed:
                 continue
-            heard, told = now - member.heard <= hear, now - member.spoke <= hear
-            if heard and told and member.hears & bit:
+            proof = member.spoke >= since and member.hears & bit
+            if member.heard >= since and proof:
                 proven.append(number)
-            elif new and not (told and member.hears & bit):
+            elif new and not proof:
                 likely.append(number)
+        self.hears = hears
         enough = len(proven) >= min(self.pace.observers, self.pace.members)
         return frozenset(proven + likely if enough else proven)
 
@@ -261,6 +259,7 @@
         """Have a member in another state."""
         member = self.members[number]
         member.state, member.since = state, now
+        self.known(number)
         if state == "left" or why == "new life":
             self.news[number] = 3 + 2 * self.pace.members.bit_length()
         self.actions.append(Changed(number, state, member.life, why))
@@ -299,6 +298,7 @@
                 self.put(now, sender, "left", "said so")
         else:
             member.counter, member.fresh = word.counter, now
+            self.known(sender)
             self.back(now, sender, "heard")
         if member.misses >> self.number & 1:
             self.hurry(sender)  # a word of this gateway's own refutes its doubt
@@ -309,15 +309,15 @@
 
     def on_table(self, now: float, sender: int, word: Word) -> None:
         """Take in how far the sender knows others to be: only for lives held here, and none long silent."""
-        of, table, members = word.of, word.table, self.members
+        of, table, own = word.of, word.table, self.table
         number = word.start - 1
-        for at in range(0, len(table), 2):
+        for at in range(1, len(table), 2):
             number = number + 1 if number + 1 < of else 0
-            member = members.get(number)
-            if member is None:
+            ahead = table[at] - own[2 * number + 1] & 255
+            if not ahead or number == sender or number == self.number:
                 continue
-            ahead = table[at + 1] - member.counter & 255
-            if not ahead or table[at] != member.life & 255 or number == sender:
+            member = self.members[number]
+            if table[at - 1] != member.life & 255:
                 continue
             silence = now - member.fresh
             # A low byte that is behind looks far ahead: no counter steps faster than time goes by.
@@ -325,6 +325,7 @@
                     and member.state in ("here", "doubt") and silence < self.pace.fail_ms):
                 member.counter += ahead
                 member.fresh = now
+                own[2 * number + 1] = member.counter & 255
                 if member.state == "doubt":
                     self.back(now, number, f"told by {sender}")
 
@@ -333,6 +334,7 @@
         if number == self.number:
             if newer(life, self.life) or (life == self.life and held == words.LEFT and not self.leaving):
                 self.life, self.seq, self.counter = (life + 1) & LIVES, 0, 0  # a clock went back between two starts
+                self.known(self.number)
                 self.actions.append(Changed(number, "here", self.life, "an older life of this number was later"))
             return
         member = self.members[number]
@@ -343,6 +345,7 @@
                 self.put(now, number, "left", "told by others")
             elif held == words.HERE and newer(counter, member.counter):
                 member.counter, member.fresh = counter, now
+                self.known(number)
                 self.back(now, number, "told by others")
 
     def begin(self, now: float, number: int, life: int, counter: int, held: int = words.HERE) -> None:
@@ -375,6 +378,15 @@
         """Count a word that was not taken."""
         self.actions.append(Dropped(why))
 
+    def known(self, number: int) -> None:
+        """Keep what words tell of a member: the low bytes of its life and counter.
+
+        Of one that is not here nothing is told: another life's mark makes it nobody's.
+        """
+        member = self.members.get(number, self)
+        stale = isinstance(member, Member) and member.state != "here"
+        self.table[2 * number:2 * number + 2] = bytes((member.life & 255 ^ 255 * stale, member.counter & 255))
+
     # Speaking
 
     def hurry(self, number: int) -> None:
@@ -423,18 +435,12 @@
         # Who was away knows of nobody how far he is by now: what waited for it meanwhile is not news.
         held = 0 if self.old(now) else min(of, (free - words.OTHERS) // 2)
         start = self.random.randrange(of) if held < of else 0
-        table = bytearray()
-        for number in range(start, start + held):
-            number = number if number < of else number - of
-            known = self if number == self.number else self.members[number]
-            # Of one that is not here nothing is told: another life's mark makes it nobody's.
-            stale = number != self.number and self.members[number].state != "here"
-            table.append(known.life & 255 ^ 255 * stale)
-            table.append(known.counter & 255)
+        row, over = bytes(self.table), 2 * (start + held)
+        table = row[2 * start:over] + (row[:over - len(row)] if over > len(row) else b"")
         flags = words.LEAVING * self.leaving + words.OLD * self.old(now)
         lives = self.lives((free - len(table)) // words.LIFE.size)
         self.actions.append(Send(to, words.encode(Word(
-            self.number, self.life, self.seq, self.counter, of, flags, segment, hears, misses, start, bytes(table),
+            self.number, self.life, self.seq, self.counter, of, flags, segment, hears, misses, start, table,
             lives, bad))))
 
     def lives(self, most: int) -> tuple[tuple[int, int, int, int], ...]:
