A gateway that starts empty learns all lives from the first word it hears

Ruled out: the network (the way was open), the counters (a table tells nothing of a life that is not known). Lines at fault: `Members.lives` filled a word with news first and took lives in turn only where fewer than three were news; `Members.say` kept room for a table that a newcomer cannot use.

Change: to a member whose life began within a doubt's time, a word carries lives in place of the table, as many as there is room for; to others some in turn beside the news. A way not taken: a word of its own that asks for lives, which would cost a round trip.

--- a/petrelhall/members/core.py
+++ b/petrelhall/members/core.py
@@ -105,6 +105,7 @@
     state: State = "unknown"
     life: int = 0
     since: float = 0.0  # of the state
+    begun: float = float("-inf")  # when its life was first heard of
     counter: int = 0
     fresh: float = float("-inf")  # when its counter last stepped, by whoever told
     heard: float = float("-inf")  # when anything last came from it
@@ -352,7 +353,7 @@
         """A life begins for this gateway: all that was known of the one before is dead."""
         member = self.members[number]
         member.life, member.counter, member.seq, member.fresh = life, counter, 0, now
-        member.hears = member.misses = 0
+        member.hears, member.misses, member.begun = 0, 0, now
         member.heard = member.spoke = float("-inf")
         self.accused.pop(number, None)
         state: State = "left" if held == words.LEFT else "doubt" if held == words.MISSED else "here"
@@ -433,18 +434,20 @@
         bad = self.bad[:words.BAD_MOST]
         free = words.room(of) - 4 * len(bad)
         # Who was away knows of nobody how far he is by now: what waited for it meanwhile is not news.
-        held = 0 if self.old(now) else min(of, (free - words.OTHERS) // 2)
+        # Who has just started knows nobody's life, and can take nothing else in.
+        young = to is not None and now - self.members[to].begun < self.pace.doubt_ms
+        held = 0 if self.old(now) or young else min(of, (free - words.OTHERS) // 2)
         start = self.random.randrange(of) if held < of else 0
         row, over = bytes(self.table), 2 * (start + held)
         table = row[2 * start:over] + (row[:over - len(row)] if over > len(row) else b"")
         flags = words.LEAVING * self.leaving + words.OLD * self.old(now)
-        lives = self.lives((free - len(table)) // words.LIFE.size)
+        lives = self.lives((free - len(table)) // words.LIFE.size, young)
         self.actions.append(Send(to, words.encode(Word(
             self.number, self.life, self.seq, self.counter, of, flags, segment, hears, misses, start, table,
             lives, bad))))
 
-    def lives(self, most: int) -> tuple[tuple[int, int, int, int], ...]:
-        """Give lives to tell of: news first, then the next in turn, so that who starts empty learns all."""
+    def lives(self, most: int, young: bool) -> tuple[tuple[int, int, int, int], ...]:
+        """Give lives to tell of: news first, then some in turn; to one that is ``young`` all that there is room for."""
         told = []
         for number in list(self.news)[:most]:
             self.news[number] -= 1
@@ -452,7 +455,7 @@
                 del self.news[number]
             told.append(number)
         known = self.pace.members
-        for _ in range(min(known, max(0, min(most, words.LIVES_KEPT) - len(told)))):
+        for _ in range(min(known, most - len(told), known if young else words.LIVES_KEPT)):
             self.lives_at = (self.lives_at + 1) % known
             member = self.members.get(self.lives_at)
             if member is not None and member.life and self.lives_at not in told:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -291,6 +291,18 @@
         scene.run(3.0)
         self.fine(scene)
 
+    def test_one_that_starts_empty_and_hears_one_other_learns_all_from_its_first_word(self) -> None:
+        scene = self.scene()
+        scene.kill(5)
+        scene.run(1.0)
+        scene.start(5)
+        scene.core(4).begin(scene.fabric.now, 5, scene.core(5).life, 0)
+        scene.core(4).news = {number: 9 for number in (1, 2, 3)}  # what else is new does not crowd it out
+        scene.core(4).urgent, scene.core(4).told = [5], 0
+        (word,) = words_of(scene.core(4), scene.fabric.now + 150.0)
+        scene.core(5).handle(scene.fabric.now + 150.0, Heard(4, word))
+        self.assertNotIn("u", scene.states(5))
+
     def test_a_clock_that_went_back_between_two_starts_is_mended_by_what_the_others_know(self) -> None:
         scene = self.scene()
         scene.driver.lives = -1  # the next life is earlier than all
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -132,6 +132,19 @@
         self.assertLess(rich.lent, 0.2 * TERMS.rate * 10.0)
         self.assertGreater(ARRIVE_MS, 2 * 300.0)  # a way there and back at the slowest
 
+    def test_a_district_whose_only_busy_gateway_is_cut_off_gets_that_ones_part_and_no_more(self) -> None:
+        ledger, meter = Ledger(0, 1, 100.0, 1, -1e6), Meter(TERMS.rate, TERMS.burst)
+        account = ledger.account(7, False, TERMS, (1, 2, 3), 0.0)
+        for now in range(0, 10000, 10):  # 100 units a second, and nobody answers
+            ledger.want(account, float(now), 1.0)
+            ledger.turn(float(now))
+            if account.share.available(float(now)) >= 1.0:
+                account.share.spend(float(now), 1.0)
+                meter.use(7, now / 1000.0)
+        part = (TERMS.burst + TERMS.rate * 10.0) / TERMS.gateways
+        self.assertGreater(meter.stores[7].used, 0.98 * part)
+        self.assertLessEqual(meter.stores[7].used, part)
+
     def test_a_word_holds_what_fits_and_the_rest_waits_for_its_turn_and_its_budget(self) -> None:
         ledger = Ledger(0, 1, 1.0, 1, 0.0)
         accounts = [ledger.account(code, False, TERMS, (1, 2, 3), 0.0) for code in range(60)]
