Who calls others failed has fresh news of a majority: rumours beyond a cut make none

Observed: 40 gateways in simulated time, 12 cut off at 20% loss and 300 ms: one of the 12 called 7 of the others failed after 4.5 s. Checked: its side was 23 of 40; what it knew of those came from words that had crossed before the cut and went on among the 12. Ruled out: links, the witnesses (4 to 8 truly missed each). Lines at fault: `look` took a majority whose news was younger than a doubt, but news goes on arriving for a spread after a cut.

Change: `Members.may_fail` counts only those whose news is fresher than a doubt by a spread. A way not taken: failing later at every size.

--- a/petrelhall/members/core.py
+++ b/petrelhall/members/core.py
@@ -202,7 +202,7 @@
             self.counted += steps * self.pace.step_ms
             self.known(self.number)
         self.stand(now, self.two_way(now))
-        able = self.majority(now)
+        able = self.may_fail(now)
         missed, doubted = 0, now - self.pace.doubt_ms
         for number, member in self.members.items():
             if member.fresh > doubted or member.state not in ("here", "doubt"):
@@ -218,6 +218,15 @@
                          f"silent for {silence:.0f} ms, missed by {self.observers(now, number)} of {len(self.side)}")
         self.misses = missed
 
+    def may_fail(self, now: float) -> bool:
+        """Tell whether this gateway may call others failed: a majority of which it has fresh news is on its side.
+
+        Rumours of those beyond a cut are on their ways for a spread: news as old as that makes no majority.
+        """
+        fresher = now - (self.pace.doubt_ms - self.pace.spread_ms)
+        sure = 1 + sum(self.members[number].fresh > fresher for number in self.side if number != self.number)
+        return self.majority(now) and sure >= self.pace.majority
+
     def stand(self, now: float, side: frozenset[int]) -> None:
         """Stand with these from now on."""
         if side != self.side:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -158,6 +158,20 @@
         core.handle(scene.fabric.now + 600.0, Tick())
         self.assertEqual(scene.states(0), "hhhhf")
 
+    def test_a_majority_made_of_news_as_old_as_rumours_last_fails_nobody(self) -> None:
+        scene = self.scene()
+        core = scene.core(0)
+        core.members[5].fresh -= 60000.0
+        for other in (1, 2, 3, 4):
+            core.members[other].misses = 1 << 5
+        now = scene.fabric.now
+        for other in (1, 2, 3):
+            core.members[other].fresh = now - core.pace.doubt_ms + core.pace.spread_ms - 100.0
+        for step in (120.0, 240.0):
+            core.handle(now + step, Tick())
+        self.assertGreaterEqual(len(core.side), core.pace.majority)
+        self.assertEqual(scene.states(0)[4], "d")
+
     def told(self, core: Members, now: float, table: dict[int, tuple[int, int]]) -> None:
         """Have member 1 tell how far it knows others to be."""
         known = core.members[1]
@@ -396,7 +410,7 @@
 class Alone(Members):
     """Fails others without a majority or witnesses."""
 
-    def majority(self, now: float) -> bool:
+    def may_fail(self, now: float) -> bool:
         return True
 
     def observers(self, now: float, number: int) -> int:
