A connection rests 20 ms after an answer: a second copy of it is nobody's next answer

Checked and ruled out: a look at the socket before the write (it comes later), telling answers apart (they carry no id). Change: Plan.pick passes over a connection that rests, Plan.resting has the request wait for it (at most 20 ms; a new connection costs the server more) unless the operators let requests wait for less. Opening another instead was tried first: it broke reuse.

--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -36,6 +36,9 @@
 WORTH_MS = 200.0  # connections die sooner than this: none is opened ahead
 PAUSE_MS, PAUSE_MOST_MS = 2000.0, 120000.0  # without opening ahead after one was opened for nothing
 SPREAD = 0.2  # of an age or a count of uses at which connections are retired: not all at once
+# A connection rests for so long between an answer and the next request. A box may send a second copy of its answer some
+# milliseconds late: what comes after the next request was written would be taken for that one's answer.
+REST_MS = 20.0
 RETRY_MS = 15.0  # in which a request without a connection asks again, though nothing woke it
 
 
@@ -234,8 +237,9 @@
             if box.busy + box.opening > box.peak:
                 box.peak = box.busy + box.opening
             return link
-        box.missed += 1
-        hindered = self.hindered(now, box)
+        rest = self.resting(now, box)
+        box.missed += not rest
+        hindered = Wait(rest, "resting") if rest else self.hindered(now, box)
         if hindered is not None:
             self.counts["waits." + hindered.cause] += 1
             return hindered
@@ -269,6 +273,8 @@
         else:
             candidates = sorted(box.idle, key=lambda link: link.uses)
         for link in candidates:
+            if link.uses and now - link.idle_since < REST_MS:
+                continue
             if now >= link.until:
                 self.retire(link, "age")
                 return self.pick(now, box, free)
@@ -297,6 +303,14 @@
         sure = box.life.limit(now, 0.1 * tolerance, bold=False)
         box.sure_ms = min(sure, max(self.settings.stale.proven_ms, box.life.survived(now)))
 
+    def resting(self, now: float, box: Box) -> float:
+        """Give the ms after which a box's latest answered connection may be used, 0 where none is worth waiting for.
+
+        A new connection costs its box work and takes longer than that; nor is the resting one to be closed for it.
+        """
+        left = REST_MS - (now - box.idle[-1].idle_since) if box.idle and box.idle[-1].uses else 0.0
+        return max(1.0, left) if 0.0 < left and self.settings.wait_ms > REST_MS else 0.0
+
     def hindered(self, now: float, box: Box) -> Wait | None:
         """Say why no connection to a box may be opened now, if so; makes room where that can be had."""
         if box.open + 1 > self.bound(now, box):
@@ -540,6 +554,14 @@
         if not self.box_ended(now, box, box.busy + len(box.idle)):
             self.died(now, box, now - link.idle_since, True)
 
+    def spoilt(self, now: float, link: Link) -> None:
+        """Something came on an idle connection that nobody had asked for: it is not used again, and tells no more."""
+        if link.state is State.IDLE:
+            self.out_of_idle(link)
+            self.close_counted(link)
+            self.counts["retired.spoilt"] += 1
+            self.unused(now, link)
+
     def found_closed(self, now: float, link: Link) -> None:
         """A connection just taken was seen to be closed before anything was written to it."""
         box = link.box
