What crosses a close, a late connection or the end is answered as its rule says

Ruled out: drains while connecting (checked already). Lines: links/pool.attempt, net/stream.on_ready and receive, gateway/front (exchange, flow, linger, make_room, stop), gateway/requests.live, http/h1.reply and flow, boxes/discovery.converse. Change: one look at the moment of the write (Pool.hindrance), Stream.left, RDHUP first, floods dropped up to 8 MB, bounded flows, Desk.end_all_by and take_back, spread waits and one stated bound (discovery.blind_ms, 3.3 s).

--- a/petrelhall/boxes/discovery.py
+++ b/petrelhall/boxes/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 import ujson
@@ -19,10 +20,23 @@
 LATE_MS = 600.0  # after which an answer that is due counts as lost with its connection
 CONNECT_MS = 1000.0
 PAUSE_MS = 100.0  # before asking anew after a failure: a watch goes on if asked within 200 ms
+# Waits and pauses are shorter by a random part of up to so much: hundreds of gateways that lost discovery at one moment
+# must not ask in step from then on. The pause does not grow: what discovery has at its return is told from that moment.
+SPREAD = 0.3
 UNUSABLE = "unusable list"
 MOST_LIST = 4 * 1024 * 1024
 
 
+def blind_ms() -> float:
+    """Give the longest time from when discovery has a change, and can be reached, to when the change is in use.
+
+    At worst the watch has just been asked when its line goes dead: its wait is over, then its answer late; then
+    the pause, a connection that takes all its time, and an answer that does. Whatever failed before, each step ends
+    by itself and the next follows, so this holds from any moment. The platform allows 6 s.
+    """
+    return WAIT_MS + LATE_MS + PAUSE_MS + CONNECT_MS + LATE_MS
+
+
 class Watch:
     """Keeps the fleet and the module up to date from one address, until another takes its place.
 
@@ -34,6 +48,7 @@
                  counts: Counts, log: Callable[[str], None], replaced: Watch | None = None) -> None:
         self.loop, self.address, self.fleet, self.tell = loop, address, fleet, tell
         self.counts, self.log, self.replaced = counts, log, replaced
+        self.random = random.Random()  # of its own: gateways that share a seed must not share their moments
         self.listed = False  # whether this address has answered
         self.whole = False  # whether to ask for the whole list, since a change could not be used
         self.over = False
@@ -64,7 +79,7 @@
             self.counts.add("discovery", "breaks")
             if self.counts.get("discovery", "breaks") in (1, 10, 100, 1000):
                 self.log(f"discovery: {reason}; asking again")
-            yield from self.loop.sleep(PAUSE_MS)
+            yield from self.loop.sleep(self.some(PAUSE_MS))
 
     def converse(self) -> Steps[str]:
         """Use one connection for as long as it serves, and give the reason why it does no more."""
@@ -82,9 +97,10 @@
             http = ClientSide(stream)
             while True:
                 watching = self.listed and not self.whole
-                query = f"?after={self.fleet.version}&wait_ms={WAIT_MS}" if watching else ""
+                wait_ms = int(self.some(WAIT_MS)) * watching
+                query = f"?after={self.fleet.version}&wait_ms={wait_ms}" if watching else ""
                 http.ask(b"GET", f"/v1/servers{query}".encode(), [(b"Host", b"discovery")])
-                until = now_ms() + LATE_MS + WAIT_MS * watching
+                until = now_ms() + LATE_MS + wait_ms
                 timers.append(self.loop.at(until, self.loop.this_task().wake))
                 while not self.over and (reply := http.reply(MOST_LIST)) is None and now_ms() < until:
                     yield
@@ -101,6 +117,10 @@
                 timer.cancel()
             stream.close()
 
+    def some(self, most_ms: float) -> float:
+        """Give most of a time, or all of it."""
+        return most_ms * (1.0 - SPREAD * self.random.random())
+
     def take(self, reply: Reply | Flowing | Broken | None) -> str:
         """Use an answer; give what was wrong with it, if anything was."""
         if reply is None:
--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -30,7 +30,10 @@
 ROOM = 8  # connections ended at once where there are too many
 SEND_MS = 10000.0  # in which a client must have read its answer
 STALL_MS = 4000.0  # in which a flowing answer must move on, from the server and to the client
+# An answer may flow for FLOW_MS, and for as long again as its bytes take at 4 kB/s: a trickle ends some time.
+FLOW_MS, FLOW_MS_PER_BYTE = 30000.0, 1000.0 / 4000.0
 LINGER_MS = 400.0  # in which a client may read an answer that came before it had said all
+CROWDED_MS = 50.0  # the same while others wait for its descriptor
 ASK_TO_LEAVE_MS, CLOSE_MS = 450.0, 800.0  # after being told to end: clients still come for up to 400 ms
 # Where a newer process takes the new connections, idle ones stay until so long before the last answers are due:
 # whoever asks again by then hears with its answer that the connection ends, and no end crosses a request.
@@ -73,7 +76,7 @@
     @property
     def gone(self) -> bool:
         """Tell whether the client has closed."""
-        return self.stream.ended
+        return self.stream.left()
 
 
 class Front:
@@ -89,6 +92,7 @@
         self.leaving = False  # clients are asked to leave with their next answer
         self.closing = False  # the listener is closed, or closes as soon as all that it holds is taken
         self.parting = False  # idle clients are closed
+        self.ending = 0  # connections that are ended and still drained
         self.succeeded = False  # a newer process takes the new connections
         self.end_by = float("inf")  # Unix ms by which what is taken must be answered
         self.on_empty: Callable[[], None] = lambda: None
@@ -143,7 +147,9 @@
         self.counts.add("connections", "from_clients")
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = Client(Stream(self.loop, sock, lambda: None), self.room, self.wording.request)
+        stream = Stream(self.loop, sock, lambda: None)
+        stream.tell_close = stream.sift = True  # a client that leaves behind a flood has left all the same
+        client = Client(stream, self.room, self.wording.request)
         self.clients.add(client)
         client.stream.notify = self.loop.spawn(self.converse(client)).wake
         return True
@@ -158,7 +164,9 @@
         if len(self.clients) >= self.most:
             free = [client for client in self.clients if not client.busy]
             free.sort(key=lambda c: (c.answered, c.http.begun, c.since))
-            for client in free[:ROOM]:
+            # Those that are being ended hold their descriptors for a moment more: that many fewer need to go.
+            free = free[:max(0, ROOM - self.ending)]
+            for client in free:
                 self.counts.add("connections", "made_room")
                 client.until = 0.0
                 client.stream.notify()
@@ -186,6 +194,7 @@
             self.counts.add("answered", "internal_error")
             self.log(f"connection failed: {describe(error)}")
             client.http.answer(500, [], b"internal error\n", True)
+            yield from self.linger(client)
         finally:
             client.stream.close()
             client.http.free()
@@ -197,7 +206,8 @@
         """Take one request and answer it; False ends the connection."""
         asked = yield from self.asked(client)
         if asked is None:
-            if self.leaving and not client.gone:
+            # Who was never answered has nothing to lose by a reset, and there may be hundreds of them.
+            if (self.leaving or client.answered) and not client.gone:
                 yield from self.part(client)
             return False
         client.busy = True
@@ -227,20 +237,21 @@
                     self.names.discard(request.name)
                     if rest is not None:
                         self.room.flows -= 1
-                        client.stream.keep = MOST_UNREAD
+                        client.stream.keep, client.stream.sift = MOST_UNREAD, True
                 if answer is None:
                     return False
                 if rest is not None and rest.broken is not None:  # its own doing, whatever became of the attempt
                     self.counts.add("answered", f"bad_{rest.broken.status}")
                     answer = asked = rest.broken
-            last = self.leaving or isinstance(asked, Broken) or client.http.receiving
+            last = self.leaving or isinstance(asked, Broken) or client.http.receiving or client.stream.flooded > 0
             if isinstance(answer, Served) and isinstance(answer.reply, Flowing):
                 keep = yield from self.flow(client, answer.reply, last)
             else:
                 keep = client.http.answer(*self.wording.answer(answer), last)
         client.http.free()
         yield from self.sent(client)
-        if not keep and not (isinstance(asked, Broken) and asked.status == 408):  # of that, nothing is unread
+        keep = keep and not client.stream.flooded
+        if not keep and not (self.crowded and isinstance(asked, Broken) and asked.status == 408):
             yield from self.linger(client, client.http.receiving)
         client.busy, client.answered, client.begun, client.since = False, True, False, now_ms()
         client.until, client.counted = client.since + IDLE_MS, client.stream.received
@@ -271,7 +282,7 @@
         """Make ready to pass a body on as it comes: little of it is held, and its client must go on sending."""
         self.counts.add("answered", "bodies_passed_on")
         self.room.flows += 1
-        client.stream.keep = self.room.each
+        client.stream.keep, client.stream.sift = self.room.each, False
         rest.late = client.overdue
 
     def flow(self, client: Client, answer: Flowing, last: bool) -> Steps[bool]:
@@ -288,12 +299,13 @@
         # Only answers that served are passed on: the status is the server's 200.
         client.http.begin(answer.status, [(b"Content-Type", kind)] if kind else [], answer.length, last)
         data, whole, keep = answer.first, False, False
-        stall = now_ms() + STALL_MS
+        stall, last_ms = now_ms() + STALL_MS, now_ms() + FLOW_MS
         timer = self.loop.at(stall, wake)
         try:
             while not client.gone:
                 if data or whole:
                     keep = client.http.more(data, whole)
+                    last_ms += len(data) * FLOW_MS_PER_BYTE
                     data, stall = b"", now_ms() + STALL_MS
                     timer.cancel()
                     timer = self.loop.at(stall, wake)
@@ -306,10 +318,10 @@
                     data, whole = got
                     if data or whole:
                         continue
-                if now_ms() >= stall:
+                if now_ms() >= min(stall, last_ms):
                     break
                 yield
-            client.stream.end(errno.EPIPE)  # cut off: the client must not take it for whole
+            client.stream.abort()  # cut off: to a client of HTTP/1.0, an orderly end would be the end of the answer
             return False
         finally:
             timer.cancel()
@@ -342,11 +354,15 @@
             yield
             timer.cancel()
         client.stream.finish_sending()
-        until = now_ms() + LINGER_MS
+        until = now_ms() + (CROWDED_MS if self.crowded else LINGER_MS)
         timer = self.loop.at(until, self.loop.this_task().wake)
-        while not client.gone and now_ms() < until:
-            yield
-        timer.cancel()
+        self.ending += 1
+        try:
+            while not client.gone and now_ms() < until:
+                yield
+        finally:
+            self.ending -= 1
+            timer.cancel()
 
     def part(self, client: Client) -> Steps[None]:
         """End an idle connection of a process that leaves, and count the request that the end has crossed."""
@@ -371,6 +387,7 @@
         ``longest_ms`` is the longest deadline of any class: with it the time of a kill is known.
         """
         self.end_by = now_ms() + min(longest_ms, KILL_CAP_MS) + KILL_AFTER_MS - WRITE_MS
+        self.desk.end_all_by(self.end_by)
         if self.succeeded:
             self.loop.at(self.end_by - LAST_ASK_MS, self.part_some)
         else:
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -82,8 +83,8 @@
     """Where attempts are made."""
 
     def attempt(self, server: str, message: Any, until: float, stopped: Callable[[], bool],
-                free: bool = True) -> Steps[Result]:
-        """Make one attempt; ``free`` tells that to run the request twice costs nothing."""
+                free: bool = True, write_by: float = math.inf) -> Steps[Result]:
+        """Make one attempt, not written after ``write_by``; ``free`` tells that a second run costs nothing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +153,7 @@
         self.witness: Callable[[str, Ending], None] | None = None  # hears how attempts at boxes ended
         self.tickets: dict[int, Ticket] = {}
         self.last = 0
+        self.end_by = math.inf  # Unix ms at which this process must have answered all: soon after, it is killed
 
     def give(self, order: Order) -> None:
         """Hand an action to its request, unless that has ended."""
@@ -161,6 +163,16 @@
                 ticket.epoch = self.agreed.epoch
             ticket.give(order)
 
+    def end_all_by(self, when: float) -> None:
+        """Answer whatever is in hand at some time: a request with longer to live would die with the process."""
+        self.end_by = when
+        self.loop.at(when, self.wake_all)
+
+    def wake_all(self) -> None:
+        """Have all requests in hand look at the time."""
+        for ticket in self.tickets.values():
+            ticket.wake()
+
     def serve(self, request: Request, caller: Caller) -> Steps[Answer | None]:
         """Live a request's life, and give its answer, or None where the client left before it."""
         self.last += 1
@@ -194,11 +206,11 @@
         ))
         try:
             while True:
-                while not ticket.orders and not caller.gone and now_ms() < until + OVERDUE_MS:
+                while not ticket.orders and not caller.gone and now_ms() < min(until + OVERDUE_MS, self.end_by):
                     yield  # the module holds it, to hear the counter first
-                if caller.gone:
-                    self.tell(api.ClientGone(ticket.id))
-                    return None
+                if caller.gone or now_ms() >= self.end_by:
+                    self.take_back(ticket, attempts)
+                    return None if caller.gone else self.cut_off(may_have_run)
                 order = ticket.orders.popleft() if ticket.orders else Fault(ticket.id)
                 if self.agreed is not None and not attempts and not isinstance(order, Fault):
                     if not self.agreed.holds(ticket.epoch):  # decided, and not let in: the policy went in between
@@ -223,30 +235,47 @@
                 started = now_ms()
                 last = min(until, started + order.timeout_ms) if order.timeout_ms else until
                 result = yield from self.servers.attempt(
-                    order.server, request.message, last, lambda: caller.gone or bool(ticket.orders),
-                    request.free)
+                    order.server, request.message, last,
+                    lambda: caller.gone or bool(ticket.orders) or now_ms() >= self.end_by,
+                    request.free, order.write_by)
                 self.counts.add("sent", result.ending.value)
                 if self.witness is not None:
                     self.witness(order.server, result.ending)
                 may_have_run |= result.reach > Reach.UNWRITTEN and result.ending is not Ending.FULL
-                if caller.gone:  # before the attempt's end is told: no further one may follow from it
+                gone, over = caller.gone, now_ms() >= self.end_by  # looked at once for all that follows
+                if gone:  # before the attempt's end is told: no further one may follow from it
                     self.tell(api.ClientGone(ticket.id))
                 served = result.ending is Ending.OK
                 started = max(started, result.asked_at)  # a client's slow body is no slowness of the box
                 self.tell(api.Outcome(
                     ticket.id, attempts, order.server, result.ending, now_ms() - started,
-                    served or caller.gone, result.used, None, dict(result.report),
+                    served or gone or over, result.used, None, dict(result.report),
                 ))
                 if self.sides is not None and not attempts:  # later ones are of requests that went badly
                     self.sides.ended(request, pools, order.server, result, now_ms() - started)
                 attempts += 1
-                if caller.gone:
+                if gone:
                     return None
                 if served:
                     return Served(result.reply)
         finally:
             overdue.cancel()
 
+    def take_back(self, ticket: Ticket, attempts: int) -> None:
+        """Tell the module that nothing more is owed; an attempt that it has just decided on is not made.
+
+        The module has booked that one: untold of its end, it would count as out at its server for good.
+        """
+        for order in ticket.orders:
+            if isinstance(order, api.Send):
+                self.tell(api.Outcome(ticket.id, attempts, order.server, Ending.MOOT, 0.0, True))
+        self.tell(api.ClientGone(ticket.id))
+
+    def cut_off(self, may_have_run: bool) -> Answer:
+        """Answer a request whose process ends before its time."""
+        self.counts.add("answered", "cut_off_at_the_end")
+        return Failed("the gateway ends") if may_have_run else Refused(self.retry_after_ms)
+
     def await_policy(self, agreed: Agreed, ticket: Ticket, request: Request, caller: Caller) -> Steps[None]:
         """Wait a little for a change that is just taking hold; what is not near is given up at once."""
         until = now_ms() + min(agreed.worth_waiting(), request.left_ms / 4.0)
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -293,10 +293,11 @@
 class ClientSide:
     """The side that asks, one request at a time."""
 
-    __slots__ = ("stream", "http", "head", "headers", "body", "interim")
+    __slots__ = ("stream", "http", "head", "headers", "body", "interim", "flowed")
 
     def __init__(self, stream: Stream) -> None:
         self.stream, self.http, self.interim = stream, h11.Connection(h11.CLIENT), 0
+        self.flowed = 0  # bytes of a flowing answer that have come
         self.head: h11.Response | None = None
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
@@ -334,15 +335,16 @@
                 if event is h11.NEED_DATA:
                     if not self.stream.ended:
                         return None
+                    if self.stream.error:  # a reset is no end, though the body may state no other
+                        return Broken(502, f"broken ({self.stream.error})")
                     self.http.receive_data(b"")  # what it cuts short is broken
                 elif isinstance(event, h11.Response):
                     self.head, self.headers = event, by_name(event)
                     self.body.clear()
                     self.interim = 0
                     length = stated_length(self.headers)
-                    framed = length is not None or b"transfer-encoding" in self.headers
-                    if ambiguous(self.headers) or not framed:  # a connection's end proves no answer whole
-                        return Broken(502, "answer whose end is not told")
+                    if ambiguous(self.headers):
+                        return Broken(502, "answer whose end is told in two ways")
                     if (length or 0) > MOST_FLOWING:
                         return Broken(502, "answer too large")
                     if (length or 0) > most:
@@ -366,6 +368,7 @@
         if head is None:
             return Broken(502, "no answer")
         first = bytes(self.body)
+        self.flowed = len(first)
         self.body.clear()
         return Flowing(head.status_code, self.headers, first, length, self)
 
@@ -376,10 +379,15 @@
         try:
             data, event = gather(self.http)
             if event is h11.NEED_DATA and self.stream.ended:
+                if self.stream.error:
+                    return Broken(502, f"broken ({self.stream.error})")
                 self.http.receive_data(b"")  # what it cuts short is broken
                 event = self.http.next_event()
         except h11.RemoteProtocolError as error:
             return Broken(502, str(error))
+        self.flowed += len(data)
+        if self.flowed > MOST_FLOWING:
+            return Broken(502, "answer without end")
         if event is h11.NEED_DATA:
             return data, False
         if not isinstance(event, h11.EndOfMessage):
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -12,6 +12,7 @@
 from petrelhall.http.h1 import Broken, ClientSide, Flowing, Inflow, Reply
 from petrelhall.http.room import Room
 from petrelhall.links.attempt import Reach, Result, Wording
+from petrelhall.links.limits import NEVER
 from petrelhall.links.plan import End, Link, No, Plan, State, Wait
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, Timer, describe, now_ms
@@ -73,13 +74,14 @@
     # Attempts
 
     def attempt(self, server: str, message: Any, until: float, stopped: Callable[[], bool],
-                free: bool = True) -> Steps[Result]:
+                free: bool = True, write_by: float = NEVER) -> Steps[Result]:
         """Make one attempt that ends by its time; it is over on the wire when this gives its result.
 
-        ``free`` tells that the request may run twice without harm.
+        ``free`` tells that the request may run twice without harm; ``write_by`` is the last moment (Unix ms) at
+        which it may be written, whatever it has waited for until then.
         """
         if now_ms() >= until:
-            return Result(Ending.TIMEOUT, Reach.UNWRITTEN, "no time left")
+            return Result(Ending.MOOT, Reach.UNWRITTEN, "no time left")
         rest = self.wording.rest(message)
         if rest is not None and rest.spent:  # whether it may go again is no question any more: it cannot
             return Result(Ending.MOOT, Reach.UNWRITTEN, "its body was passed on already")
@@ -101,10 +103,11 @@
                 failed = yield from self.connected(connection, until, timers, stopped)
                 if failed is not None:
                     return failed
-            # What was decided before discovery told that the box drains must not be written after: the
-            # rule on drains counts from the telling, and connecting may have taken a while.
-            if not link.box.listed:
-                return Result(Ending.MOOT, Reach.UNWRITTEN, "drained before it was sent")
+            hindrance = self.hindrance(link, until, write_by, stopped)
+            if hindrance is not None:
+                # It is as good as before, but for the time that it lay idle until now, which is soon forgotten.
+                keep, cause = link.idle_ms < self.plan.settings.wait_ms, "unused"
+                return hindrance
             connection.http.ask(*self.wording.outgoing(message, until - now_ms()), more=rest is not None)
             asked_at = 0.0
             if rest is not None:
@@ -144,6 +147,24 @@
             if not handed:
                 self.release(connection, keep, cause)
 
+    def hindrance(self, link: Link, until: float, write_by: float, stopped: Callable[[], bool]) -> Result | None:
+        """Say why an attempt that has its connection must not be written after all.
+
+        Between the decision and this moment it may have waited for a connection: for a free one, or for one to come
+        up. The rules count from the write: the box may drain by now (they count from the telling), the client may
+        have left, the time for an answer or for a repeat may be over.
+        """
+        if not link.box.listed:
+            return Result(Ending.MOOT, Reach.UNWRITTEN, "drained before it was sent")
+        if stopped():
+            return Result(Ending.MOOT, Reach.UNWRITTEN, "called off before it was sent")
+        now = now_ms()
+        if now >= until:
+            return Result(Ending.MOOT, Reach.UNWRITTEN, "no time left when it could be sent")
+        if now >= write_by:
+            return Result(Ending.MOOT, Reach.UNWRITTEN, "too late to be sent again")
+        return None
+
     def pour(self, connection: Connection, rest: Inflow, stopped: Callable[[], bool]) -> Steps[Result | None]:
         """Pass a body on as it comes, reading the client only as fast as the box reads.
 
@@ -231,7 +252,7 @@
                     self.counts.add("links", "none_in_time")
                     return Result(Ending.MOOT, Reach.UNWRITTEN, f"no connection: {link.cause}")  # no box's fault
                 if stopped():
-                    return Result(Ending.CANCELLED, Reach.UNWRITTEN, "called off")
+                    return Result(Ending.MOOT, Reach.UNWRITTEN, "called off")
                 yield from self.wait(server, min(latest, now + link.ms))
             link = self.plan.take(now_ms(), server, free)
 
@@ -279,8 +300,8 @@
             if stopped() or now_ms() >= until:
                 self.plan.failed(now_ms(), link, End.LEFT)
                 if stopped():
-                    return Result(Ending.CANCELLED, Reach.UNWRITTEN, "called off")
-                return Result(Ending.TIMEOUT, Reach.UNWRITTEN, "no time left to connect")
+                    return Result(Ending.MOOT, Reach.UNWRITTEN, "called off")
+                return Result(Ending.MOOT, Reach.UNWRITTEN, "no time left to connect")  # it never ran
             if now_ms() >= latest:
                 return self.failed(link, End.SILENT, "connection did not come up")
             yield
@@ -352,8 +373,13 @@
 
     def stirred(self, connection: Connection) -> None:
         """Drop an idle connection on which anything happens: only its end, or junk, can."""
-        self.plan.closed(now_ms(), connection.link)
-        connection.http.stream.close()
+        stream = connection.http.stream
+        if stream.incoming:  # a second answer, noise: its box has not closed it, which would teach how long it may lie
+            self.counts.add("servers", "unasked_bytes")
+            self.plan.spoilt(now_ms(), connection.link)
+        else:
+            self.plan.closed(now_ms(), connection.link)
+        stream.close()
 
     def carry_out(self) -> None:
         """Close what the plan has retired."""
--- a/petrelhall/net/loop.py
+++ b/petrelhall/net/loop.py
@@ -66,6 +66,7 @@
         self.ready: deque[Task] = deque()
         self.current: Task | None = None
         self.running = False
+        self.looked_at = now_ms()  # when sockets were last asked what has come
 
     # Readiness. A handler may close its own descriptor only: a later event of the same batch could else be
     # taken for one of a new socket that was given the closed one's number. Tasks and timers may close any.
@@ -130,7 +131,9 @@
 
     def turn(self) -> None:
         """Wait for whatever comes first; sockets before timers: what has come in time counts as in time."""
-        for fd, mask in self.epoll.poll(self.patience()):
+        events = self.epoll.poll(self.patience())
+        self.looked_at = now_ms()
+        for fd, mask in events:
             handler = self.handlers.get(fd)
             if handler is not None:
                 self.guard(handler, mask)
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -5,13 +5,16 @@
 import errno
 import select
 import socket
+import struct
 from collections.abc import Callable
 
-from petrelhall.net.loop import Loop
+from petrelhall.net.loop import Loop, now_ms
 
 CHUNK = 65536
 MOST_UNREAD = 98304  # bytes kept for a reader that is busy, unless it says otherwise; the kernel holds the rest
+MOST_FLOOD = 8 << 20  # bytes dropped behind a request in hand after which its sender has ended the connection
 GONE = select.EPOLLHUP | select.EPOLLERR
+LATE_MS = 20.0  # after which what epoll told in this turn is too old to begin an attempt on
 SINK = bytearray(1 << 20)  # where what nobody wants would go: the kernel drops it and writes nothing here
 IN = select.EPOLLIN | select.EPOLLRDHUP
 
@@ -24,7 +27,7 @@
     """One connection. ``notify`` is called whenever something about it has changed."""
 
     __slots__ = ("loop", "sock", "fd", "notify", "connecting", "ended", "error", "incoming", "outgoing",
-                 "mask", "unwanted", "received", "keep")
+                 "mask", "unwanted", "received", "keep", "tell_close", "sift", "flooded")
 
     def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object],
                  connecting: bool = False) -> None:
@@ -33,6 +36,9 @@
         self.incoming, self.outgoing, self.unwanted = bytearray(), bytearray(), False
         self.received = 0  # bytes taken in, all told
         self.keep = MOST_UNREAD
+        self.tell_close = False  # whether its close ends it at once, whatever lies unread before it
+        self.sift = False  # whether what comes beyond what is kept is dropped: behind it, no close could be heard
+        self.flooded = 0  # bytes dropped so
         self.mask = select.EPOLLOUT if connecting else IN
         loop.register(self.fd, self.mask, self.on_ready)
 
@@ -48,7 +54,9 @@
         else:
             if mask & select.EPOLLOUT:
                 self.flush()
-            if mask & GONE and len(self.incoming) > self.keep:
+            if mask & select.EPOLLRDHUP and self.tell_close:
+                self.end(0)  # what it said before, nobody waits for
+            elif mask & GONE and len(self.incoming) > self.keep:
                 # Told whether it is watched for or not: left so, the loop would do nothing else until it is read.
                 self.end(self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or errno.ECONNRESET)
             elif mask & ~select.EPOLLOUT:
@@ -57,13 +65,15 @@
 
     def receive(self) -> None:
         """Read what has come, once."""
-        if self.ended or self.connecting or len(self.incoming) > self.keep:
+        full = len(self.incoming) > self.keep
+        if self.ended or self.connecting or (full and not self.sift):
             return self.watch()
         try:
-            if self.unwanted:
+            if self.unwanted or full:
                 dropped = self.sock.recv_into(SINK, 0, socket.MSG_TRUNC)
                 self.received += dropped
-                if not dropped:
+                self.flooded += dropped * full
+                if not dropped or self.flooded > MOST_FLOOD:
                     self.end(0)
                 return
             data = self.sock.recv(min(CHUNK, self.keep))
@@ -113,7 +123,8 @@
         """Watch for what is wanted, and nothing else."""
         if self.ended:
             return
-        mask = 0 if len(self.incoming) > self.keep else IN
+        paused = len(self.incoming) > self.keep and not self.sift
+        mask = select.EPOLLRDHUP * self.tell_close if paused else IN
         mask |= select.EPOLLOUT if self.outgoing or self.connecting else 0
         if mask != self.mask:
             self.mask = mask
@@ -136,6 +147,18 @@
             return False
         return False
 
+    def left(self) -> bool:
+        """Tell whether the other side has closed, as the kernel knows it now, whatever lies unread before the close.
+
+        The socket itself is asked only where a turn of the loop has gone on for long since all sockets were.
+        """
+        if not self.ended and now_ms() - self.loop.looked_at > LATE_MS:
+            look = select.poll()
+            look.register(self.fd, select.POLLRDHUP)
+            if look.poll(0):
+                self.end(0)
+        return self.ended
+
     def finish_sending(self) -> None:
         """Tell the other side that nothing more comes."""
         try:
@@ -143,6 +166,14 @@
         except OSError:
             pass  # it has gone by itself
 
+    def abort(self) -> None:
+        """Reset the connection: the other side must not take what it got for whole."""
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        except OSError:
+            pass  # it has gone by itself
+        self.close()
+
     def close(self) -> None:
         """Close at once, whatever waits."""
         self.ended = True
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -16,7 +16,7 @@
 from petrelhall.gateway.platform import Platform, Spoken
 from petrelhall.http.h1 import Message
 from petrelhall.links.attempt import Reach
-from petrelhall.links.plan import Plan
+from petrelhall.links.plan import REST_MS, Plan
 from petrelhall.links.pool import Pool
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Task, now_ms
@@ -144,6 +144,7 @@
         pool = self.pool()
         self.attempt(pool)
         self.serve(self.accept())
+        self.plan.boxes["s0"].idle[0].idle_since -= REST_MS  # rested: nothing but the look at the socket is in the way
         self.held[0].close()
         steps = pool.attempt("s0", ASKED, now_ms() + 1000.0, lambda: False)
         self.addCleanup(steps.close)
