Operators' callers: an answer is not reset away, and no descriptor for one does not spin

Observed on reading and forced on sockets: a management answer was followed at once by a close, over whatever the caller still sent (reset; the answer was lost where it had not been read), with no TCP_NODELAY; where accept found no descriptor, the level-triggered listener kept the loop turning. Lines: gateway/mgmt.on_ready and converse. Change: stop sending, drain for 0.4 s at most, then close; 20 ms without taking callers.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -15,7 +15,7 @@
 from petrelhall.http.room import Room
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, describe, now_ms
-from petrelhall.net.stream import MOST_UNREAD, Address, Stream, bound
+from petrelhall.net.stream import MOST_UNREAD, NO_DESCRIPTOR, Address, Stream, bound
 
 BACKLOG = 1024
 AT_ONCE = 64  # connections taken in one turn
@@ -137,7 +137,7 @@
         except OSError as error:
             if self.listener.fileno() < 0:  # closed: nothing can come any more
                 return False
-            if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+            if error.errno in NO_DESCRIPTOR:
                 self.counts.add("connections", "no_descriptor")
                 self.starved = True
                 self.accept_less()
--- a/petrelhall/gateway/mgmt.py
+++ b/petrelhall/gateway/mgmt.py
@@ -8,6 +8,7 @@
 
 import os
 import select
+import socket
 import tempfile
 from collections.abc import Callable
 from typing import Any
@@ -22,11 +23,13 @@
 from petrelhall.net.counts import Counts
 from petrelhall.net.files import write_whole
 from petrelhall.net.loop import Loop, Steps, now_ms
-from petrelhall.net.stream import Address, Stream, bound
+from petrelhall.net.stream import NO_DESCRIPTOR, Address, Stream, bound
 
 CALLERS = 16  # connections at once; past that the one waiting longest for its call is let go
 WHOLE_MS = 1500.0  # in which a call must have come whole: some callers send nothing or half and stay for 4 s
 SEND_MS = 1000.0  # in which an answer must have gone out
+LINGER_MS = 400.0  # in which an answered caller may close: a close over what it still sends could eat its answer
+PAUSE_MS = 20.0  # in which no caller is taken where there is no descriptor
 LOOK_MS = 250.0  # between two looks at the file, for what the other process of an upgrade was told
 REASONS = {200: b"yes\n", 400: b"bad call\n", 404: b"no such server\n", 405: b"method not allowed\n",
            408: b"call did not come whole\n", 503: b"not ready\n"}
@@ -59,7 +62,12 @@
         loop.after(LOOK_MS, self.watch)
         self.listener = bound(address)
         self.listener.listen(CALLERS)
-        loop.register(self.listener.fileno(), select.EPOLLIN, self.on_ready)
+        self.listen()
+
+    def listen(self) -> None:
+        """Watch the listener, unless it was closed meanwhile."""
+        if self.listener.fileno() >= 0:
+            self.loop.register(self.listener.fileno(), select.EPOLLIN, self.on_ready)
 
     def close(self) -> None:
         """Listen no more; callers in hand are still answered."""
@@ -72,9 +80,13 @@
         """Take a caller; where all places are held, the one that has waited longest for its call goes."""
         try:
             sock, _ = self.listener.accept()
-        except OSError:  # gone already, or no descriptor: the kernel holds it and epoll tells again
-            return
-        waiting = [caller for caller in self.callers if not caller.answered]
+        except OSError as error:
+            if error.errno in NO_DESCRIPTOR:  # the kernel holds it: told of it without end, the loop would spin
+                self.loop.unregister(self.listener.fileno())
+                self.loop.after(PAUSE_MS, self.listen)
+            return  # else it has gone already
+        leaving = [caller for caller in self.callers if caller.answered and not caller.stream.outgoing]
+        waiting = leaving or [caller for caller in self.callers if not caller.answered]
         if len(self.callers) >= CALLERS and waiting:
             self.counts.add("control", "shed")
             waiting[0].until = 0.0
@@ -83,6 +95,7 @@
             sock.close()
             return
         sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         caller = Caller(Stream(self.loop, sock, lambda: None))
         self.callers.append(caller)
         task = self.loop.spawn(self.converse(caller))
@@ -121,6 +134,11 @@
             while caller.stream.outgoing and not caller.stream.ended and now_ms() < until:
                 yield
             caller.stream.finish_sending()
+            caller.stream.discard()
+            caller.until = now_ms() + LINGER_MS  # sooner, where another wants the place
+            self.loop.at(caller.until, self.loop.this_task().wake)
+            while not caller.stream.ended and now_ms() < caller.until:
+                yield
         finally:
             caller.stream.close()
             self.callers.remove(caller)
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -16,12 +16,11 @@
 from petrelhall.links.plan import End, Link, No, Plan, State, Wait
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, Timer, describe, now_ms
-from petrelhall.net.stream import Address, connect
+from petrelhall.net.stream import NO_DESCRIPTOR, Address, connect
 
 TICK_MS = 100.0
 STALL_MS = 4000.0  # in which a box must read some of a body that waits for it
 LOOK_MS = 250.0  # between two looks whether a body still comes
-NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 KEEP_ALIVE = re.compile(rb"timeout *= *\"?(\d{1,6})", re.ASCII | re.IGNORECASE)
 
 
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -18,6 +18,7 @@
 SINK = bytearray(1 << 20)  # where what nobody wants would go: the kernel drops it and writes nothing here
 IN = select.EPOLLIN | select.EPOLLRDHUP
 
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 NEW_SOCKET = socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC
 
 Address = tuple[str, int]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 """Tests that fail for a known fault: KNOWN-RED.txt at the root names them, one line each, three at most.
 
-A line is ``test id: cause, issue``. Such a test must go on failing (strict): one that passes again is an error until its
-line is out, and so is a line that names no test. The lines are printed at the end of each run.
+A line is ``test id: cause, issue``. Such a test must go on failing (strict): one that passes again is an error until
+its line is out, and so is a line that names no test. The lines are printed at the end of each run.
 """
 
 from __future__ import annotations
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import json
 import signal
 import socket
 import struct
+import tempfile
 import time
 import unittest
 import unittest.mock
@@ -21,6 +23,7 @@
 from petrelhall.gateway import front
 from petrelhall.gateway.dispatch import Dispatcher
 from petrelhall.gateway.front import Front
+from petrelhall.gateway.mgmt import CALLERS, Management
 from petrelhall.gateway.platform import Platform, Spoken
 from petrelhall.gateway.requests import Desk
 from petrelhall.http.h1 import Message
@@ -355,6 +358,54 @@
         self.assertLess(now_ms() - begin, 2000.0)
 
 
+class Operators(Inside):
+    """The operators' listener."""
+
+    def management(self) -> Management:
+        folder = self.stack.enter_context(tempfile.TemporaryDirectory())
+        self.patch(tempfile, tempdir=folder)
+        made = Management(self.loop, ("127.0.0.1", 0), self.fleet, lambda: True, lambda news: None, self.counts,
+                          self.notes.append, "n0")
+        self.stack.callback(made.listener.close)
+        self.stack.callback(lambda: [caller.stream.close() for caller in made.callers])
+        self.where = made.listener.getsockname()
+        return made
+
+    def test_an_answer_to_a_caller_that_said_more_is_not_reset_away(self) -> None:
+        made = self.management()
+        caller = self.client(b"GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n" + b"x" * 200000)
+        self.turn_until(lambda: self.counts.get("control", "answered_200"))
+        caller.setblocking(True)
+        caller.sendall(b"x" * 10000)  # before it reads: a reset would take the answer from it
+        caller.setblocking(False)
+        self.assertTrue(self.read(caller, None).startswith(b"HTTP/1.1 200"))
+        caller.close()
+        self.turn_until(lambda: not made.callers)
+
+    def test_answered_callers_that_stay_keep_no_place(self) -> None:
+        self.management()
+        for _ in range(2 * CALLERS):  # none of them closes
+            self.assertTrue(self.read(self.client(HEALTH.replace(b"/healthz", b"/control/ready")), b"yes\n"))
+
+    def test_no_descriptor_for_a_caller_does_not_spin(self) -> None:
+        made = self.management()
+        tries: list[int] = []
+
+        def none_left() -> Any:
+            tries.append(1)
+            raise OSError(errno.EMFILE, "too many open files")
+
+        listener = made.listener
+        made.listener = unittest.mock.Mock(accept=none_left, fileno=listener.fileno)
+        self.stack.callback(listener.close)
+        caller = self.client(HEALTH.replace(b"/healthz", b"/control/ready"))
+        until = now_ms() + 200.0
+        self.turn_until(lambda: now_ms() > until)
+        self.assertLessEqual(len(tries), 12)
+        made.listener = listener
+        self.assertTrue(self.read(caller, b"yes\n"))  # taken once there is one
+
+
 class Listening(Inside):
     """Discovery that falls silent, and many that ask it."""
 
