Turns at a cold server last longer: of 200 gateways with thin traffic they went unused

Checked: a sum over 200 gateways with steady thin demand used 1.9 of 10 allowed, 5.5 with the old, kept stores; a turn is over before a request comes. Ruled out: a higher mean (it is bounded by the crowd). Line: slowstart.cold_room, what may be kept was half of what may be made. Change: 2 sqrt(R) more may be kept; with R = 0.64 N all together stay under N + 2 sqrt(N) + 1. Measured in the sums: 3.2 of 10 (steady, 200), 3.3 to 4.5 uneven; the crowd stays at least 1 under N + 2 sqrt(N) + 2 with 20, 30 and 200 gateways and servers of 2 to 40 a second.

--- a/petrelhall/decide/slowstart.py
+++ b/petrelhall/decide/slowstart.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 
 from petrelhall.decide.interface import Settings
 from petrelhall.decide.state import Link
 
 COLD_PART = 0.64  # of the work that pushes a cold server over: a warm one's work, times it, is its share
-KEPT_PART = 0.5  # attempts of all gateways that may be kept unmade, over those that may be made while a server falls
+# Attempts of all gateways that may be kept unmade: 1, a part of the R that may be made in the time of a fall, and of
+# its root. With R = 0.64 N these and R together stay under N + 2 sqrt(N) + 1, N being what pushes the server over.
+KEPT_PART, KEPT_ROOT = 0.5, 2.0
 COLD_FLOOR = 0.5  # requests/s to a cold server from all gateways while no warm rate is known
 
 
@@ -29,7 +32,8 @@
     share = ramp * max(1.0, COLD_PART * settings.overload_factor)
     rate = share * max(COLD_FLOOR / settings.gateways, warm_rate) / 1000.0
     store = link.cold_store + rate * (now - link.cold_filled)
-    turn = (1.0 + KEPT_PART * rate * settings.gateways * settings.fall_ms) / settings.gateways
+    made = rate * settings.gateways * settings.fall_ms
+    turn = (1.0 + KEPT_PART * made + KEPT_ROOT * math.sqrt(made)) / settings.gateways
     if turn >= 1.0:
         store = min(1.0, store)
     elif store >= 1.0 + turn:  # turns have passed unused
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -883,7 +883,7 @@
             within = sum(begin <= when < begin + fall for when in sent[first:])
             assert within <= allowed + 2.0 * allowed**0.5 + 2.0, (place, begin, within, allowed)
             used += 1.0 / allowed
-        assert way == "crowd" or used >= 1.5, (place, used)  # of 10 that all would be allowed
+        assert way == "crowd" or used >= 2.5, (place, used)  # of 10 that all would be allowed
 
 
 def test_units_of_a_request_that_was_never_sent_on_are_given_back_and_of_one_that_was_are_not() -> None:
