Beyond five rests in a second at one server another connection is opened

Line: Plan.resting. Change: five requests a second and server wait; beyond them another connection is opened, unless the bound is reached, and then one that has rested is there.

--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -39,6 +39,7 @@
 # A connection rests for so long between an answer and the next request. A box may send a second copy of its answer some
 # milliseconds late: what comes after the next request was written would be taken for that one's answer.
 REST_MS = 20.0
+RESTS = 5  # requests in a window that wait for that at one box; beyond them it has too few connections for its use
 RETRY_MS = 15.0  # in which a request without a connection asks again, though nothing woke it
 
 
@@ -98,7 +99,7 @@
                  "tokens", "tokens_at", "answered", "refusals", "refused", "dead_at", "peak", "last_peak", "missed",
                  "wasted", "ahead_from", "warm_at", "looked", "kept_ms", "sure_ms", "hint_ms", "deaths", "hold_ms",
                  "doubt", "trying", "most", "opens", "stale", "ends", "ends_at",
-                 "survived")
+                 "survived", "rests")
 
     def __init__(self, name: str, address: object, bound: float, life: Survival) -> None:
         self.id, self.address, self.listed, self.life = name, address, True, life
@@ -109,7 +110,7 @@
         self.bound, self.grown = bound, 0.0  # connections at most, and when the bound last changed
         self.tokens, self.tokens_at = 1.0, 0.0  # connections that may be opened now while it is cold
         self.answered, self.refusals, self.refused, self.dead_at = -NEVER, 0, 0.0, 0.0
-        self.peak = self.last_peak = self.missed = self.wasted = 0
+        self.peak = self.last_peak = self.missed = self.wasted = self.rests = 0
         self.ahead_from, self.warm_at = 0.0, NEVER
         self.looked, self.kept_ms, self.sure_ms, self.hint_ms = -NEVER, NEVER, NEVER, NEVER
         self.deaths: list[tuple[float, float, bool]] = []  # not looked at yet: when, idle ms, seen closing
@@ -238,7 +239,7 @@
                 box.peak = box.busy + box.opening
             return link
         rest = self.resting(now, box)
-        box.missed += not rest
+        box.missed, box.rests = box.missed + (not rest), box.rests + (rest > 0.0)
         hindered = Wait(rest, "resting") if rest else self.hindered(now, box)
         if hindered is not None:
             self.counts["waits." + hindered.cause] += 1
@@ -307,9 +308,11 @@
         """Give the ms after which a box's latest answered connection may be used, 0 where none is worth waiting for.
 
         A new connection costs its box work and takes longer than that; nor is the resting one to be closed for it.
+        Where that happens often, another is opened, once, and then one that has rested is there.
         """
         left = REST_MS - (now - box.idle[-1].idle_since) if box.idle and box.idle[-1].uses else 0.0
-        return max(1.0, left) if 0.0 < left and self.settings.wait_ms > REST_MS else 0.0
+        often = box.rests >= RESTS and box.open + 1 <= box.bound
+        return max(1.0, left) if 0.0 < left and self.settings.wait_ms > REST_MS and not often else 0.0
 
     def hindered(self, now: float, box: Box) -> Wait | None:
         """Say why no connection to a box may be opened now, if so; makes room where that can be had."""
@@ -634,7 +637,7 @@
             elif box.missed > 1 and self.settings.ahead:  # one miss is a first use, or chance
                 self.open_ahead(now, box, ahead)
             if new_window:
-                box.last_peak, box.peak, box.missed = box.peak, box.busy + box.opening, 0
+                box.last_peak, box.peak, box.missed, box.rests = box.peak, box.busy + box.opening, 0, 0
         return ahead
 
     def open_ahead(self, now: float, box: Box, ahead: list[Link]) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from petrelhall.links.limits import CLASSES, FLOOR_MS, NEVER, Survival, age_class, lower_edge
-from petrelhall.links.plan import REST_MS, RETRY_MS, SETTLE_MS, End, Link, No, Plan, State, Wait
+from petrelhall.links.plan import REST_MS, RESTS, RETRY_MS, SETTLE_MS, End, Link, No, Plan, State, Wait
 from petrelhall.operator.settings import Cold, Links, Stale
 
 T0 = 1_000_000.0
@@ -377,6 +377,17 @@
         self.assertEqual(waits, Wait(REST_MS - 2.0, "resting"))
         self.assertIs(plan.take(T0 + 10.0 + REST_MS, "b0", True), link)
         self.assertEqual((plan.open, plan.closing), (1, []))
+        plan = self.plan()  # where requests come so often that each would wait, another is opened
+        link = self.up(plan, T0)
+        link.uses = 1
+        plan.put(T0 + 10.0, link, True)
+        told = [plan.take(T0 + 12.0, "b0", True) for _ in range(RESTS + 1)]
+        self.assertEqual([type(one) for one in told], [Wait] * RESTS + [Link])
+        plan.tick(T0 + 2000.0)  # a new window
+        plan.put(T0 + 2000.0, told[-1], True)
+        told[-1].uses = 1
+        self.assertIs(plan.take(T0 + 2001.0, "b0", True), link)
+        self.assertIsInstance(plan.take(T0 + 2001.0, "b0", True), Wait)
         plan = self.plan(wait_ms=REST_MS / 2.0)  # where requests may not wait so long, another is opened
         link = self.up(plan, T0)
         link.uses = 1
