--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -415,6 +415,9 @@
         self.assertLessEqual(wait_over, 4000.0)  # 6 s from the silence on, or 2 s after a wait's end, the later
         agent = self.server  # the same listener plays discovery
         told: list[Any] = []
+        none_left: list[OSError] = []
+        connect = discovery.connect
+        self.patch(discovery, connect=lambda *values: none_left.pop() if none_left else connect(*values))
         watch = Watch(self.loop, agent.getsockname(), self.fleet, told.append, self.counts, self.notes.append)
         self.addCleanup(watch.task.steps.close)
         line = self.accept()
@@ -425,6 +428,7 @@
         for answer in (b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{", reply(b"", "503 Busy")):
             half = self.accept()
             self.read(half, b"after=2")
+            none_left.append(OSError(errno.EMFILE, "too many open files"))  # and at once no descriptor to ask anew
             half.sendall(answer)
             if answer.endswith(b"{"):
                 reset(half)
