One way to take an idle connection out, one last moment of a repeat, after rereading

Observed on rereading: Plan.closed, spoilt and retire each counted an idle connection out by the same three lines, closed still said that it stood for noise too, and Job.last_send worked out the end of a repeat's window that policy.allowed had beside it. Change: Plan.take_out and Job.repeat_by serve all of them; the text is true again. Behaviour the same.

--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -450,7 +450,7 @@
 
     def allowed(self, job: Job, server: api.Server) -> bool:
         """Effects: what may have run goes out again only if repeatable, or keyed, in its group and window."""
-        kind, first, late = job.kind, job.ran_server, job.ran_at + WINDOW_MARGIN * job.kind.window_ms
+        kind, first, late = job.kind, job.ran_server, job.repeat_by(WINDOW_MARGIN)
         if kind.effect is Effect.REPEATABLE or job.never_ran:
             return True
         if kind.effect is Effect.ONCE or first is None or self.now > late:
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -203,11 +203,14 @@
 
     def last_send(self, now: float, margin: float) -> Send:
         """Give the action for its last attempt; a repeat must be written within a share of the class's window."""
-        repeat = self.kind.effect is not Effect.REPEATABLE and self.ran_at < math.inf
-        write_by = self.ran_at + margin * self.kind.window_ms if repeat else math.inf
+        write_by = math.inf if self.kind.effect is Effect.REPEATABLE else self.repeat_by(margin)
         address = self.attempts[-1].link.server.address
         return Send(self.id, address, max(1.0, self.useful_until - now), write_by)
 
+    def repeat_by(self, margin: float) -> float:
+        """Give when a share of the class's window is over, from the first attempt that may have run; if none, never."""
+        return self.ran_at + margin * self.kind.window_ms
+
     @property
     def index(self) -> int:
         """The number of its class."""
--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -546,13 +546,11 @@
         return True
 
     def closed(self, now: float, link: Link) -> None:
-        """An idle connection was ended by its box, or something came on it that nobody had asked for."""
+        """An idle connection was ended by its box."""
         if link.state is not State.IDLE:
             return
         box = link.box
-        self.out_of_idle(link)
-        self.close_counted(link)
-        self.counts["retired.closed"] += 1
+        self.take_out(link, "closed")
         self.unused(now, link)
         if not self.box_ended(now, box, box.busy + len(box.idle)):
             self.died(now, box, now - link.idle_since, True)
@@ -560,9 +558,7 @@
     def spoilt(self, now: float, link: Link) -> None:
         """Something came on an idle connection that nobody had asked for: it is not used again, and tells no more."""
         if link.state is State.IDLE:
-            self.out_of_idle(link)
-            self.close_counted(link)
-            self.counts["retired.spoilt"] += 1
+            self.take_out(link, "spoilt")
             self.unused(now, link)
 
     def found_closed(self, now: float, link: Link) -> None:
@@ -580,10 +576,14 @@
 
     def retire(self, link: Link, cause: str) -> None:
         """Take an idle connection out for good; the shell finds it in ``closing``."""
+        self.take_out(link, cause)
+        self.closing.append((link, cause))
+
+    def take_out(self, link: Link, cause: str) -> None:
+        """Count an idle connection out, and why."""
         self.out_of_idle(link)
         self.close_counted(link)
         self.counts["retired." + cause] += 1
-        self.closing.append((link, cause))
 
     def out_of_idle(self, link: Link) -> None:
         """Take a connection out of the idle ones."""
