--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,8 @@
 	$(VENV)/bin/petrelhall demo --seconds 20
 
 test: setup
+	$(VENV)/bin/ruff format --check petrelhall tests benchmarks
+	$(VENV)/bin/ruff format --check --line-length 110 petrelhall/decide/policy.py
 	$(VENV)/bin/ruff check petrelhall tests
 	$(VENV)/bin/mypy petrelhall
 	$(VENV)/bin/lint-imports
--- a/benchmarks/accord_cost.py
+++ b/benchmarks/accord_cost.py
@@ -35,6 +35,7 @@
         if receiver == 0:
             heard.append((fabric.now, sender, content))
         give(sender, receiver, content)
+
     fabric.give = recorded  # type: ignore[method-assign]
     at = fabric.now
     fabric.run(fabric.now + seconds * 1000.0)
@@ -77,8 +78,11 @@
     seconds = parser.parse_args().seconds
     for members in (5, 40, 200):
         cost, look = measure(members, seconds)
-        print(f"{members} members: {cost:.2f} ms a second, {100.0 * cost / (100.0 * TRY_MS):.1f}% at 100 requests/s, "
-              f"{100.0 * cost / (30.0 * TRY_MS):.1f}% at 30; a look {look:.2f} us", flush=True)
+        print(
+            f"{members} members: {cost:.2f} ms a second, {100.0 * cost / (100.0 * TRY_MS):.1f}% at 100 requests/s, "
+            f"{100.0 * cost / (30.0 * TRY_MS):.1f}% at 30; a look {look:.2f} us",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/bodies.py
+++ b/benchmarks/bodies.py
@@ -37,10 +37,14 @@
 async def send(address: tuple[str, int], number: int, size: int) -> bool:
     """Send one body; tell whether it came whole."""
     reader, writer = await asyncio.open_connection(*address)
-    writer.write((f"POST /api?client={number:016x} HTTP/1.1\r\nHost: s\r\nX-Request-Id: {number:016x}\r\n"
-                  "X-Class: enroll-change\r\nX-Contract: district\r\nX-Deadline: 60000m\r\n"
-                  f"X-Metering: units=1,spread=1,first=0\r\nIdempotency-Key: {number:032x}\r\n"
-                  f"Content-Length: {size}\r\n\r\n").encode())
+    writer.write(
+        (
+            f"POST /api?client={number:016x} HTTP/1.1\r\nHost: s\r\nX-Request-Id: {number:016x}\r\n"
+            "X-Class: enroll-change\r\nX-Contract: district\r\nX-Deadline: 60000m\r\n"
+            f"X-Metering: units=1,spread=1,first=0\r\nIdempotency-Key: {number:032x}\r\n"
+            f"Content-Length: {size}\r\n\r\n"
+        ).encode()
+    )
     for _ in range(size // len(CHUNK)):
         writer.write(CHUNK)
         await writer.drain()
@@ -68,18 +72,39 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0, backlog=512)
     listen, size = free_port(), options.megabytes << 20
     # One server under many names, since the module has a few attempts out at each.
-    boxes = [{"id": f"s{n}", "addr": text(server.sockets[0].getsockname()), "zone": "room-a", "kind": "k", "cell": 0,
-              "state": "Ready", "weight": 1.0, "started_ms": 0} for n in range(options.clients)]
-    config = {"name": "n0", "listen": text(listen), "discovery": "127.0.0.1:1", "seed": "1",
-              "limits": {"sockets": 1024, "memory_mb": options.memory}, "settings": settings(1, 0, 60000.0),
-              "known": {"version": 1, "full": True, "servers": boxes}}
+    boxes = [
+        {
+            "id": f"s{n}",
+            "addr": text(server.sockets[0].getsockname()),
+            "zone": "room-a",
+            "kind": "k",
+            "cell": 0,
+            "state": "Ready",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+        for n in range(options.clients)
+    ]
+    config = {
+        "name": "n0",
+        "listen": text(listen),
+        "discovery": "127.0.0.1:1",
+        "seed": "1",
+        "limits": {"sockets": 1024, "memory_mb": options.memory},
+        "settings": settings(1, 0, 60000.0),
+        "known": {"version": 1, "full": True, "servers": boxes},
+    }
     with tempfile.TemporaryDirectory() as folder:
         path = os.path.join(folder, "config.json")
         with open(path, "w") as file:
             json.dump(config, file)
         gateway = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "petrelhall", stderr=asyncio.subprocess.DEVNULL,
-            env={**os.environ, "EDGE_CONFIG": path, "TMPDIR": folder})
+            sys.executable,
+            "-m",
+            "petrelhall",
+            stderr=asyncio.subprocess.DEVNULL,
+            env={**os.environ, "EDGE_CONFIG": path, "TMPDIR": folder},
+        )
         try:
             await ready(listen)
             before, began, cpu = figures(gateway.pid)[0], time.monotonic(), figures(gateway.pid)[1]
@@ -89,8 +114,10 @@
             gateway.terminate()
             await gateway.wait()
     took, total = time.monotonic() - began, options.clients * options.megabytes
-    print(f"{served} of {options.clients} bodies of {options.megabytes} MB served in {took:.1f} s; memory "
-          f"{before:.1f} MB idle, {after:.1f} MB at most; CPU {1000.0 * (spent - cpu) / total:.1f} ms a MB")
+    print(
+        f"{served} of {options.clients} bodies of {options.megabytes} MB served in {took:.1f} s; memory "
+        f"{before:.1f} MB idle, {after:.1f} MB at most; CPU {1000.0 * (spent - cpu) / total:.1f} ms a MB"
+    )
 
 
 asyncio.run(main())
--- a/benchmarks/fleet_size.py
+++ b/benchmarks/fleet_size.py
@@ -27,8 +27,13 @@
     return api.Settings(
         classes=(api.RequestClass(api.Effect.REPEATABLE, aim_ms=2000.0, deadline_ms=6000.0),),
         plans=(api.Plan(rate=0.4, burst=2.0), api.Plan(rate=5.5, burst=10.0, max_open=4)),
-        gateways=gateways, peers=True, peer_messages_per_s=100.0, counter=True, counter_wait_ms=80.0,
-        max_attempts=3, max_retry_after_ms=2000.0,
+        gateways=gateways,
+        peers=True,
+        peer_messages_per_s=100.0,
+        counter=True,
+        counter_wait_ms=80.0,
+        max_attempts=3,
+        max_retry_after_ms=2000.0,
     )
 
 
@@ -54,8 +59,9 @@
         for action in gateway.handle(at, event):
             count += 1
             if isinstance(action, api.Send):
-                outcome = api.Outcome(action.request, 0, action.server, api.Ending.OK, ANSWER_MS, True, None, None,
-                                      {"rif": 2.0})
+                outcome = api.Outcome(
+                    action.request, 0, action.server, api.Ending.OK, ANSWER_MS, True, None, None, {"rif": 2.0}
+                )
                 heapq.heappush(due, (at + ANSWER_MS, count, outcome))
             elif isinstance(action, api.CounterAdd):
                 heapq.heappush(due, (at + 10.0, count, api.CounterReply(action.name, api.Ending.OK, action.amount)))
--- a/benchmarks/links_core.py
+++ b/benchmarks/links_core.py
@@ -65,10 +65,12 @@
             longest = max(longest, time.perf_counter() - tick)
             ticks += 1
         spent += time.perf_counter() - began
-    print(f"{boxes} boxes, {events} events: {1e6 * spent / events:.2f} us an event with its share of {ticks} ticks; "
-          f"longest tick {1e3 * longest:.1f} ms; {(empty - before) / boxes:.0f} bytes a box, "
-          f"{(memory() - before) / boxes:.0f} with its connections; {plan.open} open, {len(plan.idle)} idle")
+    print(
+        f"{boxes} boxes, {events} events: {1e6 * spent / events:.2f} us an event with its share of {ticks} ticks; "
+        f"longest tick {1e3 * longest:.1f} ms; {(empty - before) / boxes:.0f} bytes a box, "
+        f"{(memory() - before) / boxes:.0f} with its connections; {plan.open} open, {len(plan.idle)} idle"
+    )
 
 
 if __name__ == "__main__":
-    main(*(int(value) for value in (sys.argv[1:] + ["5000", "1000000"][len(sys.argv) - 1:])))
+    main(*(int(value) for value in (sys.argv[1:] + ["5000", "1000000"][len(sys.argv) - 1 :])))
--- a/benchmarks/members_cost.py
+++ b/benchmarks/members_cost.py
@@ -32,6 +32,7 @@
         if receiver == 0:
             heard.append((scene.fabric.now, sender, content))
         give(sender, receiver, content)
+
     scene.fabric.give = recorded  # type: ignore[method-assign]
     began = scene.fabric.now
     scene.run(seconds)
@@ -73,8 +74,10 @@
     given = parser.parse_args()
     for members in (12, 200):
         cost = measure(members, given.seconds)
-        print(f"{members} members: {cost:.2f} ms of CPU a second;",
-              *(f"{100.0 * cost / (rate * TRY_MS):.1f}% more at {rate} requests a second" for rate in (30, 100)))
+        print(
+            f"{members} members: {cost:.2f} ms of CPU a second;",
+            *(f"{100.0 * cost / (rate * TRY_MS):.1f}% more at {rate} requests a second" for rate in (30, 100)),
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/members_fleet.py
+++ b/benchmarks/members_fleet.py
@@ -29,11 +29,21 @@
     """Play one."""
     size, (loss, late), (name, share, cut), seed = task
     outcome = play(size, max(1, int(share * size)), Links(loss, (1.0, late)), seed, cut=cut)
-    return {"gateways": size, "loss": loss, "late_ms": late, "lost": name, "seed": seed,
-            "median_s": round(outcome.median_ms / 1000.0, 2), "slowest_s": round(outcome.slowest_ms / 1000.0, 2),
-            "stated_s": round(pace(size, 100.0, 0.1, 300.0).found_ms / 1000.0, 2), "unfound": outcome.unfound,
-            "wrongly_failed": outcome.wrongly_failed, "doubts": outcome.doubts,
-            "bytes_per_s": round(outcome.bytes_per_s), "words_per_s": round(outcome.words_per_s, 1)}
+    return {
+        "gateways": size,
+        "loss": loss,
+        "late_ms": late,
+        "lost": name,
+        "seed": seed,
+        "median_s": round(outcome.median_ms / 1000.0, 2),
+        "slowest_s": round(outcome.slowest_ms / 1000.0, 2),
+        "stated_s": round(pace(size, 100.0, 0.1, 300.0).found_ms / 1000.0, 2),
+        "unfound": outcome.unfound,
+        "wrongly_failed": outcome.wrongly_failed,
+        "doubts": outcome.doubts,
+        "bytes_per_s": round(outcome.bytes_per_s),
+        "words_per_s": round(outcome.words_per_s, 1),
+    }
 
 
 def plot(rows: list[dict[str, Any]], path: str) -> None:
@@ -48,8 +58,9 @@
     losses = sorted({row["loss"] for row in rows})
     for place, (name, loss) in enumerate(itertools.product([lost[0] for lost in LOST], losses)):
         sizes = sorted({row["gateways"] for row in rows if (row["lost"], row["loss"]) == (name, loss)})
-        of = [[row for row in rows if (row["gateways"], row["lost"], row["loss"]) == (size, name, loss)]
-              for size in sizes]
+        of = [
+            [row for row in rows if (row["gateways"], row["lost"], row["loss"]) == (size, name, loss)] for size in sizes
+        ]
         medians = [statistics.median(row["median_s"] for row in some) for some in of]
         slowest = [max(row["slowest_s"] for row in some) for some in of]
         at = [size * (0.9 + 0.02 * place) for size in sizes]
@@ -57,12 +68,25 @@
         left.plot(at, medians, ".", color=f"C{place // 3}", label=name if place % 3 == 0 else None)
     sizes = sorted({row["gateways"] for row in rows})
     left.plot(sizes, [pace(size, 100.0, 0.1, 300.0).found_ms / 1000.0 for size in sizes], "k--", label="stated")
-    left.set(xscale="log", xticks=sizes, xticklabels=[str(size) for size in sizes], xlabel="gateways",
-             ylabel="seconds to find: median to slowest", title="each loss, 5 to 30% of words lost")
+    left.set(
+        xscale="log",
+        xticks=sizes,
+        xticklabels=[str(size) for size in sizes],
+        xlabel="gateways",
+        ylabel="seconds to find: median to slowest",
+        title="each loss, 5 to 30% of words lost",
+    )
     left.legend(fontsize=8)
     right.plot(sizes, [max(r["bytes_per_s"] for r in rows if r["gateways"] == size) for size in sizes], "o-")
-    right.set(xscale="log", xticks=sizes, xticklabels=[str(size) for size in sizes], xlabel="gateways",
-              ylabel="bytes a second of one gateway", ylim=(0, 2700), title="10 words a second at every size")
+    right.set(
+        xscale="log",
+        xticks=sizes,
+        xticklabels=[str(size) for size in sizes],
+        xlabel="gateways",
+        ylabel="bytes a second of one gateway",
+        ylim=(0, 2700),
+        title="10 words a second at every size",
+    )
     figure.tight_layout()
     figure.savefig(path)
 
@@ -78,16 +102,23 @@
     parser.add_argument("--json")
     given = parser.parse_args()
     sizes = [int(size) for size in given.sizes.split(",")]
-    tasks = [task for task in itertools.product(sorted(sizes, reverse=True), LOSSES, LOST, range(1, given.seeds + 1))
-             if given.all or task[0] < LARGE or (task[1] == LOSSES[0] and not task[2][2])]
+    tasks = [
+        task
+        for task in itertools.product(sorted(sizes, reverse=True), LOSSES, LOST, range(1, given.seeds + 1))
+        if given.all or task[0] < LARGE or (task[1] == LOSSES[0] and not task[2][2])
+    ]
     with concurrent.futures.ProcessPoolExecutor(given.processes) as pool:
         rows = sorted(pool.map(one, tasks, chunksize=1), key=lambda row: (row["gateways"], row["loss"], row["lost"]))
     for key, some in itertools.groupby(rows, lambda row: (row["gateways"], row["loss"], row["late_ms"], row["lost"])):
         group = list(some)
-        print(*key, f"median {statistics.median(row['median_s'] for row in group):.1f} s,",
-              f"slowest {max(row['slowest_s'] for row in group):.1f} of {group[0]['stated_s']} s,",
-              *(f"{name} {sum(row[name] for row in group)}," for name in ("unfound", "wrongly_failed", "doubts")),
-              f"{max(row['bytes_per_s'] for row in group)} bytes/s", flush=True)
+        print(
+            *key,
+            f"median {statistics.median(row['median_s'] for row in group):.1f} s,",
+            f"slowest {max(row['slowest_s'] for row in group):.1f} of {group[0]['stated_s']} s,",
+            *(f"{name} {sum(row[name] for row in group)}," for name in ("unfound", "wrongly_failed", "doubts")),
+            f"{max(row['bytes_per_s'] for row in group)} bytes/s",
+            flush=True,
+        )
     if given.json:
         with open(given.json, "w") as file:
             json.dump(rows, file)
--- a/benchmarks/quota_fleet.py
+++ b/benchmarks/quota_fleet.py
@@ -15,8 +15,12 @@
 from petrelhall.emulate.quota import Fleet, fleet
 
 PLAYS: dict[str, dict[str, Any]] = {
-    "lent": {}, "lent, 10% lost": {"loss": 0.1}, "lent, 30% lost": {"loss": 0.3}, "lent, split": {"split": True},
-    "lent, 100 words/s": {"words_per_s": 100.0}, "even slices": {"lend": False},
+    "lent": {},
+    "lent, 10% lost": {"loss": 0.1},
+    "lent, 30% lost": {"loss": 0.3},
+    "lent, split": {"split": True},
+    "lent, 100 words/s": {"words_per_s": 100.0},
+    "even slices": {"lend": False},
 }
 
 
@@ -39,8 +43,10 @@
     with concurrent.futures.ProcessPoolExecutor(given.processes) as pool:
         played = dict(zip(PLAYS, pool.map(one, tasks), strict=True))
     for name, found in played.items():
-        print(f"{name:20} served {found.served_share:.3f} of an all-knowing quota, beyond {found.worst_beyond:.2f} of "
-              f"{found.stated_beyond:.2f} units stated, {found.words_per_s:.1f} words/s each")
+        print(
+            f"{name:20} served {found.served_share:.3f} of an all-knowing quota, beyond {found.worst_beyond:.2f} of "
+            f"{found.stated_beyond:.2f} units stated, {found.words_per_s:.1f} words/s each"
+        )
     if given.plot:
         import matplotlib
 
@@ -53,8 +59,11 @@
         left.set(xlabel="served, of what an all-knowing quota serves", xlim=(0, 1))
         right.barh(names, [found.words_per_s for found in played.values()])
         right.set(xlabel="words a second of one gateway", yticklabels=[])
-        figure.suptitle(f"{given.gateways} gateways, {given.districts} districts: 0 units beyond in every play"
-                        if all(found.worst_beyond == 0.0 for found in played.values()) else "")
+        figure.suptitle(
+            f"{given.gateways} gateways, {given.districts} districts: 0 units beyond in every play"
+            if all(found.worst_beyond == 0.0 for found in played.values())
+            else ""
+        )
         figure.tight_layout()
         figure.savefig(given.plot)
 
--- a/benchmarks/shift_moves.py
+++ b/benchmarks/shift_moves.py
@@ -23,8 +23,12 @@
 LONGEST_S = 300.0
 WINDOW_S = 60.0
 LEAST = 30  # answers of the target in a window that the threshold rule looks at
-MOVE = Move("m", "old", "new", (Step(0.1, 10.0, 50), Step(0.25, 10.0, 50), Step(0.5, 10.0, 50), Step(0.9, 10.0, 50),
-                                Step(1.0, 10.0, 0)))
+MOVE = Move(
+    "m",
+    "old",
+    "new",
+    (Step(0.1, 10.0, 50), Step(0.25, 10.0, 50), Step(0.5, 10.0, 50), Step(0.9, 10.0, 50), Step(1.0, 10.0, 0)),
+)
 
 
 class Threshold:
@@ -58,6 +62,7 @@
 def play(work: tuple[Any, ...]) -> dict[str, Any]:
     """Play one move; ``work`` is seed, requests a second, ratio of latencies, more errors, confounded."""
     seed, rate, slow, errors, confounded = work
+
     def ask(draw: random.Random, share: float) -> tuple[bool, bool, float, bool]:
         target = draw.random() < share
         hard = draw.random() < (0.02 if confounded and target else 0.3)
@@ -72,8 +77,11 @@
             mover.look(looked, looked / 1000.0)
             looked += 250.0
         target, hard, latency, error = ask(draw, mover.wanted)
-        mover.answer(now, Answer(("hard" if hard else "easy", "p", 0), latency, error, False,
-                                 str(int(draw.expovariate(0.05)))), target)
+        mover.answer(
+            now,
+            Answer(("hard" if hard else "easy", "p", 0), latency, error, False, str(int(draw.expovariate(0.05)))),
+            target,
+        )
     ended, draw, rule, rule_at = now / 1000.0, random.Random(f"{seed}/rule"), Threshold(), None
     now = 0.0
     while now < LONGEST_S * 1000.0 and rule_at is None:  # a step a minute, as such tools go
@@ -90,32 +98,44 @@
     rule = sorted(result["rule_s"] for result in results if result["rule_s"] is not None)
     count = len(results)
     return {
-        "moves": count, "halted": len(halted) / count,
+        "moves": count,
+        "halted": len(halted) / count,
         "done": sum(result["state"] == "done" for result in results) / count,
         "halted_median_s": round(halted[len(halted) // 2], 1) if halted else None,
         "halted_p95_s": round(halted[int(0.95 * (len(halted) - 1))], 1) if halted else None,
         "threshold_halted": len(rule) / count,
-        "threshold_median_s": round(rule[len(rule) // 2], 1) if rule else None, "times": halted,
+        "threshold_median_s": round(rule[len(rule) // 2], 1) if rule else None,
+        "times": halted,
     }
 
 
 def plot(path: str, worlds: dict[str, dict[str, Any]]) -> None:
     """Draw the share of moves halted by time, a line a world."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     figure, (left, right) = pyplot.subplots(1, 2, figsize=(12, 4.5))
     for name, told in worlds.items():
         times = told["times"]
-        left.step([0, *times, LONGEST_S], [0, *((n + 1) / told["moves"] for n in range(len(times))), told["halted"]],
-                  where="post", label=name)
+        left.step(
+            [0, *times, LONGEST_S],
+            [0, *((n + 1) / told["moves"] for n in range(len(times))), told["halted"]],
+            where="post",
+            label=name,
+        )
     left.set(xlabel="seconds since the move began", ylabel="moves halted", ylim=(0, 1.02), title="this judge")
     left.legend(fontsize=7)
     names = list(worlds)
     places = range(len(names))
     right.barh([place - 0.2 for place in places], [worlds[name]["halted"] for name in names], 0.4, label="this judge")
-    right.barh([place + 0.2 for place in places], [worlds[name]["threshold_halted"] for name in names], 0.4,
-               label="threshold on unmatched means")
+    right.barh(
+        [place + 0.2 for place in places],
+        [worlds[name]["threshold_halted"] for name in names],
+        0.4,
+        label="threshold on unmatched means",
+    )
     right.set_yticks(list(places), names, fontsize=7)
     right.set(xlabel="moves halted", xlim=(0, 1.02), title="beside the threshold rule")
     right.legend(fontsize=7)
--- a/petrelhall/accord/core.py
+++ b/petrelhall/accord/core.py
@@ -130,8 +130,18 @@
 class Accord:
     """One gateway's part in agreeing."""
 
-    def __init__(self, number: int, life: int, pace: Pace, document: bytes, check: Callable[[bytes], str], seed: int,
-                 now: float, memory: Memory | None = None, documents: tuple[bytes, ...] = ()) -> None:
+    def __init__(
+        self,
+        number: int,
+        life: int,
+        pace: Pace,
+        document: bytes,
+        check: Callable[[bytes], str],
+        seed: int,
+        now: float,
+        memory: Memory | None = None,
+        documents: tuple[bytes, ...] = (),
+    ) -> None:
         self.number, self.life, self.pace, self.check = number, life, pace, check
         self.random = random.Random(seed)
         self.documents = Documents()
@@ -194,8 +204,10 @@
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take in one event; the time never goes back."""
         self.actions = []
-        self.room = min(BEHIND * len(self.pace.voters) + 2.0 * self.pace.members,
-                        self.room + (now - self.room_at) * self.pace.out_per_s / 1000.0)
+        self.room = min(
+            BEHIND * len(self.pace.voters) + 2.0 * self.pace.members,
+            self.room + (now - self.room_at) * self.pace.out_per_s / 1000.0,
+        )
         self.room_at = now
         if isinstance(event, Heard):
             self.on_word(now, event.sender, event.content)
@@ -238,8 +250,9 @@
         if memory != self.kept and self.certain:
             self.kept = memory
             held = self.documents.held
-            self.actions.append(Keep(memory, tuple(held[name] for name in (memory.digest, memory.value)
-                                                   if name in held)))
+            self.actions.append(
+                Keep(memory, tuple(held[name] for name in (memory.digest, memory.value) if name in held))
+            )
 
     # Learning
 
@@ -277,14 +290,20 @@
     def missing(self) -> int | None:
         """Give the latest decision that is not in the history, of as many as it holds."""
         known = {version for version, _ in self.history}
-        return next((version for version in range(self.known.version - 1, max(-1, self.known.version - KEPT), -1)
-                     if version not in known), None)
+        return next(
+            (
+                version
+                for version in range(self.known.version - 1, max(-1, self.known.version - KEPT), -1)
+                if version not in known
+            ),
+            None,
+        )
 
     def on_older(self, now: float, sender: int, word: words.Older) -> None:
         """Tell of earlier decisions."""
         found = [entry for entry in self.history if entry[0] <= word.version]
         if found:
-            self.say(sender, words.Decided(self.life, tuple(found[:words.HISTORY])))
+            self.say(sender, words.Decided(self.life, tuple(found[: words.HISTORY])))
 
     def reason(self, digest: bytes) -> str:
         """Say why a document cannot be served here; it must be held."""
@@ -314,22 +333,27 @@
             empty = {number: state.digest for number, state in answers.items() if not state.remembers}
             missing = (others - set(answers)) if now < self.begin_at else set()
             if len(remembering) > len(self.pace.voters) - self.pace.majority or (
-                    remembering and not missing and now >= self.begin_at):
+                remembering and not missing and now >= self.begin_at
+            ):
                 return self.remembers(now, best([memory_of(state) for state in remembering]), answers)
             differ = sorted(number for number, digest in empty.items() if digest != self.file)
             if not missing and not remembering and not differ:  # nobody knows anything: all began together
-                self.roots = tuple(answers[number].life if number in answers else self.life * (number == self.number)
-                                   for number in sorted(self.pace.voters))
+                self.roots = tuple(
+                    answers[number].life if number in answers else self.life * (number == self.number)
+                    for number in sorted(self.pace.voters)
+                )
                 return self.remembers(now, Memory(0, self.file), answers)
             place = sorted(self.pace.voters).index(self.number)
             for state in remembering:  # who began with this very process, which has not voted on anything since
                 if state.roots and state.roots[place] == self.life:
                     self.roots = state.roots
                     return self.remembers(now, Memory(0, self.file), answers)
-            self.trouble = (f"started empty, and the shared part of the file differs from that of {differ}"
-                            if differ and not remembering else
-                            f"started empty: {len(remembering)} voters that remember were heard"
-                            + (f", {sorted(missing)} are silent" if missing else ""))
+            self.trouble = (
+                f"started empty, and the shared part of the file differs from that of {differ}"
+                if differ and not remembering
+                else f"started empty: {len(remembering)} voters that remember were heard"
+                + (f", {sorted(missing)} are silent" if missing else "")
+            )
         self.queried = now
         for number in others:  # also those that answered: one that was empty may remember by now
             self.say(number, words.Query(self.life, nonce))
@@ -378,8 +402,19 @@
         if to == self.number:
             self.holder.granted(to, ask.nonce, kind, float(ask.ms))
         elif self.certain:
-            self.say(to, words.Grant(self.life, ask.life, ask.nonce, kind, ask.ms, self.known.version,
-                                     self.known.digest, words.bitmap(self.voter.holders(now))))
+            self.say(
+                to,
+                words.Grant(
+                    self.life,
+                    ask.life,
+                    ask.nonce,
+                    kind,
+                    ask.ms,
+                    self.known.version,
+                    self.known.digest,
+                    words.bitmap(self.voter.holders(now)),
+                ),
+            )
 
     def clear(self, now: float) -> None:
         """Grant to those that waited until this voter was clear of earlier versions."""
@@ -403,15 +438,19 @@
             self.remember(version, digest)
         if len(self.history) > before and (missing := self.missing()) is not None:
             self.say(sender, words.Older(self.life, missing))
-        if (self.certain and word.history[:1] == ((self.known.version, self.known.digest),)
-                and sender in self.pace.voters and now - self.asked.get(sender, -math.inf) >= self.pace.retry_ms / 2.0):
+        if (
+            self.certain
+            and word.history[:1] == ((self.known.version, self.known.digest),)
+            and sender in self.pace.voters
+            and now - self.asked.get(sender, -math.inf) >= self.pace.retry_ms / 2.0
+        ):
             self.ask(now, frozenset((sender,)))  # it waits to be told that what was before is given back
 
     def behind(self, now: float, sender: int, slot: int, before: bytes) -> bool:
         """Learn what a word on a slot implies; True where the slot is one that is decided here, which is told."""
         self.learn(now, slot - 1, before, sender)
         if self.certain and slot <= self.known.version:
-            self.say(sender, words.Decided(self.life, tuple(self.history)[:words.HISTORY]))
+            self.say(sender, words.Decided(self.life, tuple(self.history)[: words.HISTORY]))
             return True
         return not self.certain or slot != self.known.version + 1
 
@@ -429,8 +468,7 @@
         if self.voter.promise(word.ballot):
             self.keep()
             memory = self.voter.memory
-            self.say(sender, words.Promise(self.life, word.life, word.slot, word.ballot, memory.accepted,
-                                           memory.value))
+            self.say(sender, words.Promise(self.life, word.life, word.slot, word.ballot, memory.accepted, memory.value))
         else:
             self.say(sender, words.Nack(self.life, word.life, word.slot, self.voter.memory.promised))
 
@@ -450,8 +488,12 @@
     def on_promise(self, now: float, sender: int, word: words.Promise) -> None:
         """Count a promise."""
         ballot = self.ballot
-        if (ballot is not None and (ballot.slot, ballot.number) == (word.slot, word.ballot)
-                and sender in self.pace.voters and ballot.open(now, self.pace)):
+        if (
+            ballot is not None
+            and (ballot.slot, ballot.number) == (word.slot, word.ballot)
+            and sender in self.pace.voters
+            and ballot.open(now, self.pace)
+        ):
             self.promised(now, ballot, sender, word.accepted, word.digest)
 
     def promised(self, now: float, ballot: Ballot, voter: int, accepted: int, digest: bytes) -> None:
@@ -469,8 +511,12 @@
     def on_accepted(self, now: float, sender: int, word: words.Accepted) -> None:
         """Count a vote."""
         ballot = self.ballot
-        if (ballot is not None and (ballot.slot, ballot.number) == (word.slot, word.ballot)
-                and sender in self.pace.voters and ballot.open(now, self.pace)):
+        if (
+            ballot is not None
+            and (ballot.slot, ballot.number) == (word.slot, word.ballot)
+            and sender in self.pace.voters
+            and ballot.open(now, self.pace)
+        ):
             self.voted(now, ballot, sender)
 
     def voted(self, now: float, ballot: Ballot, voter: int) -> None:
@@ -484,8 +530,9 @@
         self.seen_ballot = max(self.seen_ballot, word.ballot)
         ballot = self.ballot
         if ballot is not None and ballot.slot == word.slot and ballot.number < word.ballot:
-            ballot.began = min(ballot.began, now - self.pace.ballot_ms
-                               + self.random.uniform(0.0, 2.0) * self.pace.retry_ms)
+            ballot.began = min(
+                ballot.began, now - self.pace.ballot_ms + self.random.uniform(0.0, 2.0) * self.pace.retry_ms
+            )
 
     def on_query(self, now: float, sender: int, word: words.Query) -> None:
         """Tell one that starts empty what there is."""
@@ -493,8 +540,21 @@
         if voter is None:
             return
         memory = voter.memory if voter.remembers else Memory(0, self.file)
-        self.say(sender, words.State(self.life, word.life, word.nonce, voter.remembers, memory.version, memory.digest,
-                                     memory.promised, memory.accepted, memory.value, self.roots))
+        self.say(
+            sender,
+            words.State(
+                self.life,
+                word.life,
+                word.nonce,
+                voter.remembers,
+                memory.version,
+                memory.digest,
+                memory.promised,
+                memory.accepted,
+                memory.value,
+                self.roots,
+            ),
+        )
 
     def on_state(self, now: float, sender: int, word: words.State) -> None:
         """Hear what another voter remembers; only what was asked after the fence counts for one's own votes."""
@@ -515,8 +575,19 @@
         reason = self.reason(word.digest) if held else ""
         votes = self.voter is not None and self.voter.remembers and now >= self.voter.fence
         holders = self.voter.holders(now) if self.voter is not None and votes else set()
-        self.say(sender, words.Opinion(self.life, word.life, word.slot, word.digest, (2 if reason else 1) * held,
-                                       short(reason), votes, words.bitmap(holders)))
+        self.say(
+            sender,
+            words.Opinion(
+                self.life,
+                word.life,
+                word.slot,
+                word.digest,
+                (2 if reason else 1) * held,
+                short(reason),
+                votes,
+                words.bitmap(holders),
+            ),
+        )
 
     def on_opinion(self, now: float, sender: int, word: words.Opinion) -> None:
         """Hear what another gateway's checks say."""
@@ -589,8 +660,9 @@
         """Close the next slot, with what was voted on in it or with what is in force as it is."""
         if not self.certain or any(change.settles and not change.over for change in self.changes):
             return
-        self.changes.append(Change(self.known.digest, self.known.version + 1, self.known.digest, now, "deciding",
-                                   settles=True))
+        self.changes.append(
+            Change(self.known.digest, self.known.version + 1, self.known.digest, now, "deciding", settles=True)
+        )
 
     def end(self, now: float, change: Change, state: Any, reasons: dict[int, str] | None = None) -> None:
         """Have a change end."""
@@ -598,8 +670,9 @@
             return
         change.end(now, state, reasons)
         why = "; ".join(f"{number}: {reason}" if number >= 0 else reason for number, reason in change.reasons.items())
-        self.actions.append(Told(f"change {change.digest.hex()[:8]} for version {change.slot}: {state}"
-                                 + (f" ({why})" if why else "")))
+        self.actions.append(
+            Told(f"change {change.digest.hex()[:8]} for version {change.slot}: {state}" + (f" ({why})" if why else ""))
+        )
 
     def work(self, now: float) -> None:
         """Go on with what is open: changes of this gateway's, and votes that nobody finished."""
@@ -610,8 +683,14 @@
         if ballot is not None and not ballot.open(now, self.pace):
             ballot = self.ballot = None
         if ballot is None:
-            own = next((change.digest for change in self.changes
-                        if change.state == "deciding" and change.slot == self.known.version + 1), None)
+            own = next(
+                (
+                    change.digest
+                    for change in self.changes
+                    if change.state == "deciding" and change.slot == self.known.version + 1
+                ),
+                None,
+            )
             if own is not None or self.unfinished(now):
                 ballot = self.ballot = self.begin(now, own or self.known.digest)
         if ballot is not None and now - ballot.asked >= self.pace.retry_ms:
@@ -667,17 +746,23 @@
             if now - change.began > self.patience(change):
                 silent = sorted((needed or set(self.pace.voters)) - set(change.opinions))
                 behind = sorted(number for number, verdict in change.opinions.items() if not verdict)
-                return self.end(now, change, "nowhere", {-1: (
-                    f"no answer from {silent}" if silent else f"{behind} have not got the whole of it")})
+                return self.end(
+                    now,
+                    change,
+                    "nowhere",
+                    {-1: (f"no answer from {silent}" if silent else f"{behind} have not got the whole of it")},
+                )
             if now - change.asked >= 1.5 * self.pace.retry_ms:
                 change.asked = now
                 content = self.documents.held.get(change.digest, b"")
-                word = words.Check(self.life, change.slot, change.digest, change.before,
-                                   content if len(content) <= words.DATA else b"")
+                word = words.Check(
+                    self.life, change.slot, change.digest, change.before, content if len(content) <= words.DATA else b""
+                )
                 others = [number for number in range(self.pace.members) if number != self.number]
                 voters = [number for number in others if number in self.pace.voters]
-                rest = [number for number in others
-                        if number not in self.pace.voters and not change.opinions.get(number)]
+                rest = [
+                    number for number in others if number not in self.pace.voters and not change.opinions.get(number)
+                ]
                 self.random.shuffle(rest)
                 for number in voters + rest:
                     if not self.say(number, word, 2.0 * len(self.pace.voters)):
@@ -725,8 +810,15 @@
         reason = self.reason(digest) if held else ""
         if held:
             self.trouble = f"version {self.known.version} cannot be served here: {reason}" if reason else ""
-        ask = words.Ask(self.life, self.holder.ask(now), self.known.version, digest, int(self.pace.life_ms),
-                        held and not reason, self.before() is not None)
+        ask = words.Ask(
+            self.life,
+            self.holder.ask(now),
+            self.known.version,
+            digest,
+            int(self.pace.life_ms),
+            held and not reason,
+            self.before() is not None,
+        )
         self.versions[self.number] = self.known.version, now
         for number in sorted(voters):
             self.asked[number] = now
@@ -770,7 +862,7 @@
             if self.pushed == -math.inf:  # who decided it tells all, once
                 late = set(range(self.pace.members))
             self.pushed = now
-            word = words.Decided(self.life, tuple(self.history)[:words.HISTORY])
+            word = words.Decided(self.life, tuple(self.history)[: words.HISTORY])
             for number in self.random.sample(sorted(late), len(late)):
                 self.say(number, word, float(len(self.pace.voters)))
         if self.documents.parts and now - self.sought >= self.pace.retry_ms:
@@ -785,9 +877,12 @@
 
     def owed(self, now: float) -> list[int]:
         """Give the members that are not known to have the decided version, as far as this gateway hears."""
-        return [number for number in range(self.pace.members)
-                if self.versions.get(number, (-1, 0.0))[0] < self.known.version or
-                now - self.versions[number][1] > 2.0 * self.pace.life_ms]
+        return [
+            number
+            for number in range(self.pace.members)
+            if self.versions.get(number, (-1, 0.0))[0] < self.known.version
+            or now - self.versions[number][1] > 2.0 * self.pace.life_ms
+        ]
 
     def view(self, now: float) -> dict[str, Any]:
         """Give all of it as JSON's values."""
@@ -795,24 +890,51 @@
         if self.allowed(now):
             state = "serving" if self.kind == FULL else "strictest"
         memory = self.voter.memory if self.voter is not None and self.voter.remembers else None
-        pending = [{"digest": change.digest.hex(), "version": change.slot, "state": change.state}
-                   for change in self.changes if not change.over]
+        pending = [
+            {"digest": change.digest.hex(), "version": change.slot, "state": change.state}
+            for change in self.changes
+            if not change.over
+        ]
         if memory is not None and memory.accepted and not pending:
             pending.append({"digest": memory.value.hex(), "version": memory.version + 1, "state": "voted on"})
         return {
-            "self": self.number, "life": self.life, "version": self.known.version if self.certain else None,
-            "digest": self.known.digest.hex(), "state": state, "why": self.trouble,
+            "self": self.number,
+            "life": self.life,
+            "version": self.known.version if self.certain else None,
+            "digest": self.known.digest.hex(),
+            "state": state,
+            "why": self.trouble,
             "lease_ms": round(max(0.0, self.holder.until[self.kind] - now)) if self.allowed(now) else 0,
-            "votes": memory is not None, "pending": pending, "owed": self.owed(now) if self.certain else [],
-            "members": [{"number": number, "votes": number in self.pace.voters, "version": version,
-                         "asked_ms_ago": round(now - at)} for number, (version, at) in sorted(self.versions.items())],
+            "votes": memory is not None,
+            "pending": pending,
+            "owed": self.owed(now) if self.certain else [],
+            "members": [
+                {
+                    "number": number,
+                    "votes": number in self.pace.voters,
+                    "version": version,
+                    "asked_ms_ago": round(now - at),
+                }
+                for number, (version, at) in sorted(self.versions.items())
+            ],
             "history": [{"version": version, "digest": digest.hex()} for version, digest in self.history],
-            "changes": [{"digest": change.digest.hex(), "version": change.slot, "state": change.state,
-                         "settles": change.settles, "took_ms": round((change.ended or now) - change.began),
-                         "reasons": {str(number): reason for number, reason in change.reasons.items()}}
-                        for change in self.changes],
-            "pace": {"life_ms": round(self.pace.life_ms), "ask_ms": round(self.pace.ask_ms),
-                     "fence_ms": round(self.pace.fence_ms), "voters": sorted(self.pace.voters)},
+            "changes": [
+                {
+                    "digest": change.digest.hex(),
+                    "version": change.slot,
+                    "state": change.state,
+                    "settles": change.settles,
+                    "took_ms": round((change.ended or now) - change.began),
+                    "reasons": {str(number): reason for number, reason in change.reasons.items()},
+                }
+                for change in self.changes
+            ],
+            "pace": {
+                "life_ms": round(self.pace.life_ms),
+                "ask_ms": round(self.pace.ask_ms),
+                "fence_ms": round(self.pace.fence_ms),
+                "voters": sorted(self.pace.voters),
+            },
         }
 
 
@@ -823,4 +945,4 @@
 
 def short(reason: str) -> str:
     """Give as much of a reason as a word holds."""
-    return reason.encode()[:words.REASON].decode(errors="ignore")
+    return reason.encode()[: words.REASON].decode(errors="ignore")
--- a/petrelhall/accord/documents.py
+++ b/petrelhall/accord/documents.py
@@ -71,7 +71,7 @@
         for step in range(WINDOW):
             start = (first + step) * DATA
             if mask >> step & 1 and start < max(1, len(content)):
-                yield first + step, len(content), content[start:start + DATA]
+                yield first + step, len(content), content[start : start + DATA]
 
     def piece(self, digest: bytes, index: int, size: int, data: bytes) -> bytes | None:
         """Take a piece in; the document where that was the last of it."""
--- a/petrelhall/accord/plan.py
+++ b/petrelhall/accord/plan.py
@@ -67,8 +67,16 @@
     return frozenset(place * members // count for place in range(count))
 
 
-def pace(members: int, most_voters: int, messages_per_s: float, share: float, lease_ms: float, hold_ms: float,
-         late_ms: float, strictest: bool) -> Pace:
+def pace(
+    members: int,
+    most_voters: int,
+    messages_per_s: float,
+    share: float,
+    lease_ms: float,
+    hold_ms: float,
+    late_ms: float,
+    strictest: bool,
+) -> Pace:
     """Give the paces for so many members, where a gateway takes in so many messages a second."""
     voters = voters_of(members, most_voters)
     words = max(0.1, share * messages_per_s)
@@ -76,5 +84,6 @@
     retry_ms = max(LEAST_RETRY_MS, 1000.0 * len(voters) / words)
     ballot_ms = max(LEAST_BALLOT_MS, STEPS_OF_A_BALLOT * late_ms, 6.0 * retry_ms)
     again_ms = max(retry_ms, 1000.0 * (members + len(voters)) / words)
-    return Pace(members, voters, words, ask_ms, max(lease_ms, ASKS * ask_ms) + hold_ms, ballot_ms, again_ms, retry_ms,
-                strictest)
+    return Pace(
+        members, voters, words, ask_ms, max(lease_ms, ASKS * ask_ms) + hold_ms, ballot_ms, again_ms, retry_ms, strictest
+    )
--- a/petrelhall/accord/votes.py
+++ b/petrelhall/accord/votes.py
@@ -38,8 +38,13 @@
     version = max(memory.version for memory in memories)
     same = [memory for memory in memories if memory.version == version]
     vote = max(same, key=lambda memory: memory.accepted)
-    return Memory(version, next((memory.digest for memory in same if memory.digest), b""),
-                  max(memory.promised for memory in same), vote.accepted, vote.value)
+    return Memory(
+        version,
+        next((memory.digest for memory in same if memory.digest), b""),
+        max(memory.promised for memory in same),
+        vote.accepted,
+        vote.value,
+    )
 
 
 class Voter:
@@ -90,8 +95,14 @@
             del self.grants[key]
         self.waiting.pop(member, None)
         memory = self.memory
-        if (not ask.wants or not self.remembers or now < self.fence or ask.version != memory.version
-                or ask.digest != memory.digest or memory.accepted):
+        if (
+            not ask.wants
+            or not self.remembers
+            or now < self.fence
+            or ask.version != memory.version
+            or ask.digest != memory.digest
+            or memory.accepted
+        ):
             return NONE
         earlier = {version for version, until in self.grants.values() if version < memory.version and until > now}
         kind = NONE
@@ -107,16 +118,20 @@
 
     def cleared(self, now: float) -> list[tuple[int, Ask]]:
         """Give the asks that waited, once this voter is clear of all earlier versions."""
-        if not self.waiting or any(version < self.memory.version and until > now
-                                   for version, until in self.grants.values()):
+        if not self.waiting or any(
+            version < self.memory.version and until > now for version, until in self.grants.values()
+        ):
             return []
         found, self.waiting = list(self.waiting.items()), {}
         return found
 
     def earlier(self, now: float) -> set[int]:
         """Give the members that may still serve by an earlier version, as far as this voter's grants go."""
-        return {member for (member, _), (version, until) in self.grants.items()
-                if version < self.memory.version and until > now}
+        return {
+            member
+            for (member, _), (version, until) in self.grants.items()
+            if version < self.memory.version and until > now
+        }
 
     def holders(self, now: float) -> set[int]:
         """Give the members that hold a lease of this voter's; those that have run out are forgotten."""
--- a/petrelhall/accord/words.py
+++ b/petrelhall/accord/words.py
@@ -172,8 +172,23 @@
     version: Whole
 
 
-AnyWord = (Ask | Grant | Prepare | Promise | Accept | Accepted | Nack | Decided | Query | State | Check | Opinion
-           | Want | Piece | Older)
+AnyWord = (
+    Ask
+    | Grant
+    | Prepare
+    | Promise
+    | Accept
+    | Accepted
+    | Nack
+    | Decided
+    | Query
+    | State
+    | Check
+    | Opinion
+    | Want
+    | Piece
+    | Older
+)
 # The words by which a change comes about, in their order: the tests go through all of them, so that none is forgotten.
 STEPS: tuple[type[Word], ...] = (Check, Opinion, Prepare, Promise, Accept, Accepted, Decided, Ask, Grant)
 
@@ -191,12 +206,12 @@
     """Read a word, or say why it is none: spoilt, or of another version or fleet."""
     if not FRAME.size + SUM.size < len(content) <= MOST or content[0] != KIND:
         return "spoilt"
-    if SUM.unpack(content[-SUM.size:])[0] != zlib.crc32(content[:-SUM.size]):
+    if SUM.unpack(content[-SUM.size :])[0] != zlib.crc32(content[: -SUM.size]):
         return "spoilt"
     if FRAME.unpack_from(content) != (KIND, VERSION, members, voters):
         return "foreign"
     try:
-        word: AnyWord = DECODER.decode(content[FRAME.size:-SUM.size])
+        word: AnyWord = DECODER.decode(content[FRAME.size : -SUM.size])
     except msgspec.DecodeError:
         return "spoilt"
     return word
--- a/petrelhall/boxes/discovery.py
+++ b/petrelhall/boxes/discovery.py
@@ -44,8 +44,16 @@
     the new one has answered. Versions belong to an address: the new one is asked for the whole list.
     """
 
-    def __init__(self, loop: Loop, address: Address, fleet: Fleet, tell: Callable[[api.ServerList], None],
-                 counts: Counts, log: Callable[[str], None], replaced: Watch | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        fleet: Fleet,
+        tell: Callable[[api.ServerList], None],
+        counts: Counts,
+        log: Callable[[str], None],
+        replaced: Watch | None = None,
+    ) -> None:
         self.loop, self.address, self.fleet, self.tell = loop, address, fleet, tell
         self.counts, self.log, self.replaced = counts, log, replaced
         self.random = random.Random()  # of its own: gateways that share a seed must not share their moments
--- a/petrelhall/boxes/fleet.py
+++ b/petrelhall/boxes/fleet.py
@@ -40,8 +40,11 @@
             raise ValueError("not a list of servers")
         version, kind = int(listing.get("version") or 0), kind or ("full" if listing.get("full") else "delta")
         read = [self.line(entry) for entry in listing["servers"]]
-        told = {entry["id"] for entry in listing["servers"]
-                if entry.get("started_ms") is not None or self.bans.back_at(entry["id"])}
+        told = {
+            entry["id"]
+            for entry in listing["servers"]
+            if entry.get("started_ms") is not None or self.bans.back_at(entry["id"])
+        }
         if len(self.ever) > MOST_EVER:
             self.ever = set(self.entries)
         self.ever.update(server.address for server, _ in read)
@@ -83,8 +86,13 @@
         out = (pool is None or self.bans.holds(entry["id"]) or entry["id"] in self.left_out) and not gone
         since = max(float(entry.get("started_ms") or 0.0), self.bans.back_at(entry["id"]))
         server = api.Server(
-            entry["id"], self.zone(entry.get("zone")), int(entry.get("cell") or 0),
-            "cordoned" if out else phase, 1.0 if weight is None else float(weight), since, pool or "",
+            entry["id"],
+            self.zone(entry.get("zone")),
+            int(entry.get("cell") or 0),
+            "cordoned" if out else phase,
+            1.0 if weight is None else float(weight),
+            since,
+            pool or "",
         )
         return server, address
 
--- a/petrelhall/cli/check.py
+++ b/petrelhall/cli/check.py
@@ -22,6 +22,7 @@
     Example: petrelhall check deploy/operator.json
     Exit codes: 0 it can be used, 1 it cannot, 2 no such file.
     """
+
     def load(path: str) -> File:
         try:
             return read(path)
--- a/petrelhall/cli/demo.py
+++ b/petrelhall/cli/demo.py
@@ -9,15 +9,17 @@
 from petrelhall.standins.faults import Fault, Script
 from petrelhall.standins.world import Setup
 
-STORY = Script((
-    Fault(3.0, "idle_limit", (0,), low_s=0.4, high_s=0.4),
-    Fault(3.0, "idle_limit", (1,), low_s=0.3, high_s=0.9, mode="close"),
-    Fault(6.0, "slow", (2,), factor=4.0),
-    Fault(8.0, "restart", (3,)),
-    Fault(10.0, "drain", (4,)),
-    Fault(12.0, "slow", (2,), factor=1.0),
-    Fault(13.0, "replace", (5,)),
-))
+STORY = Script(
+    (
+        Fault(3.0, "idle_limit", (0,), low_s=0.4, high_s=0.4),
+        Fault(3.0, "idle_limit", (1,), low_s=0.3, high_s=0.9, mode="close"),
+        Fault(6.0, "slow", (2,), factor=4.0),
+        Fault(8.0, "restart", (3,)),
+        Fault(10.0, "drain", (4,)),
+        Fault(12.0, "slow", (2,), factor=1.0),
+        Fault(13.0, "replace", (5,)),
+    )
+)
 
 
 @click.command()
--- a/petrelhall/cli/drill.py
+++ b/petrelhall/cli/drill.py
@@ -55,8 +55,16 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "out", type=click.Path(), help="write the figures to this file")
 @click.option("--machine", is_flag=True, help="print JSON in place of a table")
-def members(gateways: int, seconds: float, rate: float, boxes: int, script: str | None, seed: int, out: str | None,
-            machine: bool) -> None:
+def members(
+    gateways: int,
+    seconds: float,
+    rate: float,
+    boxes: int,
+    script: str | None,
+    seed: int,
+    out: str | None,
+    machine: bool,
+) -> None:
     """What gateways know of each other, under faults of the network and of processes.
 
     \b
@@ -67,8 +75,9 @@
     play = troubles(script, seconds, gateways, seed)
     with tempfile.TemporaryDirectory() as folder:
         operator = prepare(folder, {"members": {"on": True}})
-        world = Drill(Setup(seconds, boxes, gateways, Demand(rate=rate, clients=32), seed=seed, operator=operator),
-                      play)
+        world = Drill(
+            Setup(seconds, boxes, gateways, Demand(rate=rate, clients=32), seed=seed, operator=operator), play
+        )
         report = asyncio.run(world.run())
     finish(world, world.outcome(report), wrong, out, machine)
 
@@ -83,8 +92,17 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "out", type=click.Path(), help="write the figures to this file")
 @click.option("--machine", is_flag=True, help="print JSON in place of a table")
-def quota(gateways: int, seconds: float, districts: int, demand: float, script: str | None, present: bool, seed: int,
-          out: str | None, machine: bool) -> None:
+def quota(
+    gateways: int,
+    seconds: float,
+    districts: int,
+    demand: float,
+    script: str | None,
+    present: bool,
+    seed: int,
+    out: str | None,
+    machine: bool,
+) -> None:
     """Quotas under faults of the network and of processes, counted at the boxes.
 
     \b
@@ -100,8 +118,10 @@
         outcome = world.outcome(asyncio.run(world.run()))
     terms = Terms(QuotaDrill.RATE, QuotaDrill.BURST, gateways)
     stalls = outcome.pop("stops")
-    stated = {"stated_error_units": round(worst(terms, seconds, Links().wait_ms, stalls), 1),
-              "stated_served_share": stated_served(play, terms, seconds)}
+    stated = {
+        "stated_error_units": round(worst(terms, seconds, Links().wait_ms, stalls), 1),
+        "stated_served_share": stated_served(play, terms, seconds),
+    }
     finish(world, {**outcome, **stated}, lambda told: [] if present else beyond(told), out, machine)
 
 
@@ -115,8 +135,17 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "out", type=click.Path(), help="write the figures to this file")
 @click.option("--machine", is_flag=True, help="print JSON in place of a table")
-def policy(gateways: int, seconds: float, rate: float, script: str | None, unsure: str | None, folder: bool | None,
-           seed: int, out: str | None, machine: bool) -> None:
+def policy(
+    gateways: int,
+    seconds: float,
+    rate: float,
+    script: str | None,
+    unsure: str | None,
+    folder: bool | None,
+    seed: int,
+    out: str | None,
+    machine: bool,
+) -> None:
     """Changes of policy all the time, under faults of the network and of processes, judged at the boxes.
 
     \b
@@ -131,8 +160,9 @@
     with tempfile.TemporaryDirectory() as place:
         accord = {"on": True, "stamp": True, "unsure": unsure or ("refuse", "strictest")[seed // 2 % 2]}
         operator = prepare(place, {"accord": {**accord, "folder": place} if lasting else accord})
-        world = PolicyDrill(Setup(seconds, 4, gateways, Demand(rate=rate, clients=32), seed=seed, operator=operator),
-                            play)
+        world = PolicyDrill(
+            Setup(seconds, 4, gateways, Demand(rate=rate, clients=32), seed=seed, operator=operator), play
+        )
         report = asyncio.run(world.run())
         outcome = {"unsure": accord["unsure"], "folder": lasting, **world.outcome(report)}
     finish(world, outcome, world.wrong, out, machine)
@@ -140,8 +170,11 @@
 
 def stated_served(play: Play, terms: Terms, seconds: float) -> float:
     """Give the least share of a quota that is stated for a play: what gateways that are down own is nobody's."""
-    down = sum((strike.for_s + OWNING_S) * len(strike.gateways) for strike in play.strikes
-               if strike.do in ("kill", "leave", "stop", "starve", "upgrade"))
+    down = sum(
+        (strike.for_s + OWNING_S) * len(strike.gateways)
+        for strike in play.strikes
+        if strike.do in ("kill", "leave", "stop", "starve", "upgrade")
+    )
     lost = play.noise.loss if play.strikes or play.noise.loss else 0.0
     start = OWNING_S / seconds
     return round(max(0.0, 0.97 - start - down / (terms.gateways * seconds) - LENT * lost), 3)
--- a/petrelhall/cli/members.py
+++ b/petrelhall/cli/members.py
@@ -29,8 +29,14 @@
     seen = sorted(views.values(), key=lambda view: int(view["self"]))
     differ = disagreements(seen)
     if machine:
-        as_json({"views": seen, "unanswered": failed, "groups": clusters(seen),
-                 "disagreements": [str(one) for one in differ]})
+        as_json(
+            {
+                "views": seen,
+                "unanswered": failed,
+                "groups": clusters(seen),
+                "disagreements": [str(one) for one in differ],
+            }
+        )
     else:
         if seen:
             OUT.print(table(seen))
--- a/petrelhall/cli/play.py
+++ b/petrelhall/cli/play.py
@@ -20,11 +20,13 @@
     watched = OUT.is_terminal and not machine
     logger = log()
     if not watched:
+
         def progress(world: World) -> None:
             world_s = len(ticks)
             ticks.append(None)
             if world_s % EACH_LOG_S == EACH_LOG_S - 1:
                 logger.info("running", seconds=world_s + 1, **dict(world.judge.seen))
+
         ticks: list[None] = []
         report = asyncio.run(World(setup, progress).run())
     else:
--- a/petrelhall/cli/policy.py
+++ b/petrelhall/cli/policy.py
@@ -19,8 +19,13 @@
 ENDS = {"in force": IN_FORCE, "nowhere": NOWHERE}
 WHERE = click.argument("addresses", nargs=-1, required=True)
 MACHINE = click.option("--json", "machine", is_flag=True, help="print JSON")
-WAIT = click.option("--wait", default=0.0, show_default=True, type=click.FloatRange(0.0, 3600.0),
-                    help="seconds to wait for the end; 0: until it has been asked once")
+WAIT = click.option(
+    "--wait",
+    default=0.0,
+    show_default=True,
+    type=click.FloatRange(0.0, 3600.0),
+    help="seconds to wait for the end; 0: until it has been asked once",
+)
 
 
 @click.group()
@@ -76,8 +81,9 @@
         asked = Table("asked at", "for version", "document", "end", "took", "why", title="changes")
         for where, view in views.items():
             for row in view["changes"]:
-                asked.add_row(where, str(row["version"]), row["digest"][:8], row["state"], f"{row['took_ms']} ms",
-                              why(row))
+                asked.add_row(
+                    where, str(row["version"]), row["digest"][:8], row["state"], f"{row['took_ms']} ms", why(row)
+                )
         OUT.print(asked)
     sys.exit(1 if failed else 0)
 
@@ -208,8 +214,15 @@
             time.sleep(POLL_S)
     owed = sorted({number for view in views.values() if state == "in force" for number in view["owed"]})
     if machine:
-        as_json({"digest": digest, "version": row.get("version"), "state": state, "owed": owed,
-                 "reasons": row.get("reasons", {})})
+        as_json(
+            {
+                "digest": digest,
+                "version": row.get("version"),
+                "state": state,
+                "owed": owed,
+                "reasons": row.get("reasons", {}),
+            }
+        )
     else:
         OUT.print(f"{digest}: {state}" + (f" as version {row['version']}" if state == "in force" else ""), markup=False)
         if why(row):
@@ -223,8 +236,12 @@
 
 def found_of(views: dict[str, dict[str, Any]], digest: str, version: int | None) -> tuple[str, dict[str, Any]]:
     """Give a change's state and row from what gateways know: the end where any of them knows it."""
-    rows = [row for view in views.values() for row in view["changes"]
-            if row["digest"].startswith(digest) and version in (None, row["version"])]
+    rows = [
+        row
+        for view in views.values()
+        for row in view["changes"]
+        if row["digest"].startswith(digest) and version in (None, row["version"])
+    ]
     for row in reversed(rows):
         if row["state"] in ENDS:
             return row["state"], row
@@ -242,8 +259,9 @@
 
 def why(row: dict[str, Any]) -> str:
     """Word the reasons of a change's end."""
-    return "; ".join(reason if number == "-1" else f"gateway {number}: {reason}"
-                     for number, reason in row.get("reasons", {}).items())
+    return "; ".join(
+        reason if number == "-1" else f"gateway {number}: {reason}" for number, reason in row.get("reasons", {}).items()
+    )
 
 
 def answered(where: str, path: str) -> dict[str, Any]:
@@ -260,12 +278,22 @@
 
 def table(views: dict[str, dict[str, Any]], title: str = "policy") -> Table:
     """Give a row a gateway."""
-    shown = Table("gateway", "at", "version", "document", "state", "lease", "votes", "pending", "owed by", "why",
-                  title=title)
+    shown = Table(
+        "gateway", "at", "version", "document", "state", "lease", "votes", "pending", "owed by", "why", title=title
+    )
     for where, view in views.items():
         colour = {"serving": "green", "strictest": "yellow"}.get(view["state"], "red")
         pending = ", ".join(f"{row['digest'][:8]} {row['state']}" for row in view["pending"])
-        shown.add_row(str(view["self"]), where, str(view["version"]), view["digest"][:8],
-                      f"[{colour}]{view['state']}[/]", f"{view['lease_ms']} ms", "yes" if view["votes"] else "",
-                      pending, ", ".join(map(str, view["owed"])), view["why"])
+        shown.add_row(
+            str(view["self"]),
+            where,
+            str(view["version"]),
+            view["digest"][:8],
+            f"[{colour}]{view['state']}[/]",
+            f"{view['lease_ms']} ms",
+            "yes" if view["votes"] else "",
+            pending,
+            ", ".join(map(str, view["owed"])),
+            view["why"],
+        )
     return shown
--- a/petrelhall/cli/quota.py
+++ b/petrelhall/cli/quota.py
@@ -53,24 +53,38 @@
         raise click.UsageError(str(error)) from error
     size = spread or config.settings.gateways
     alone = not config.settings.peers
-    counted = config.settings.counter and (settings.quota.counter == "always"
-                                           or (settings.quota.counter == "alone" and alone))
+    counted = config.settings.counter and (
+        settings.quota.counter == "always" or (settings.quota.counter == "alone" and alone)
+    )
     shown = Table(title=f"beyond rate x time + burst in {window:g} s, by all {size} gateways of a set")
     for name in ("plan", "what", "state", "units beyond, at most", "served, at least", "why"):
         shown.add_column(name)
     rows = []
     for name, plan in zip(config.plans, config.settings.plans, strict=True):
-        for what, rate, burst in (("quota", plan.rate, plan.burst),
-                                  ("ceiling", plan.ceiling_rate, plan.ceiling_burst)):
+        for what, rate, burst in (("quota", plan.rate, plan.burst), ("ceiling", plan.ceiling_rate, plan.ceiling_burst)):
             if rate <= 0.0:
                 continue
             for one in bounds(Terms(rate, burst, size, counted), window, settings.links.wait_ms):
-                rows.append({"plan": name, "what": what, "state": one.state, "beyond": round(one.beyond, 2),
-                             "served": round(one.served, 4), "why": one.why})
+                rows.append(
+                    {
+                        "plan": name,
+                        "what": what,
+                        "state": one.state,
+                        "beyond": round(one.beyond, 2),
+                        "served": round(one.served, 4),
+                        "why": one.why,
+                    }
+                )
                 shown.add_row(name, what, one.state, f"{one.beyond:.1f}", f"{one.served:.3f}", one.why)
-    refused = "" if settings.quota.on and not config.settings.cost_after else (
-        "quota.on is false in the operators' file" if not settings.quota.on
-        else "the platform tells what a request cost only afterwards")
+    refused = (
+        ""
+        if settings.quota.on and not config.settings.cost_after
+        else (
+            "quota.on is false in the operators' file"
+            if not settings.quota.on
+            else "the platform tells what a request cost only afterwards"
+        )
+    )
     if machine:
         as_json({"window_s": window, "gateways": size, "holds": not refused, "why_not": refused, "bounds": rows})
     else:
@@ -82,18 +96,37 @@
 
 @quota.command()
 @click.option("--minutes", default=5.0, show_default=True, type=click.FloatRange(0.15, 120.0))
-@click.option("--every", default=20.0, show_default=True, type=click.FloatRange(2.0, 600.0),
-              help="seconds between two troubles of the counter")
+@click.option(
+    "--every",
+    default=20.0,
+    show_default=True,
+    type=click.FloatRange(2.0, 600.0),
+    help="seconds between two troubles of the counter",
+)
 @click.option("--gateways", default=4, show_default=True, type=click.IntRange(1, 16))
 @click.option("--districts", default=6, show_default=True, type=click.IntRange(1, 100))
-@click.option("--lean", default=0.7, show_default=True, type=click.FloatRange(0.0, 1.0),
-              help="share of a district's requests that come to one gateway, beside its even part of the rest")
+@click.option(
+    "--lean",
+    default=0.7,
+    show_default=True,
+    type=click.FloatRange(0.0, 1.0),
+    help="share of a district's requests that come to one gateway, beside its even part of the rest",
+)
 @click.option("--without", is_flag=True, help="without the counter, for comparison")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "out", type=click.Path(), help="write the figures to this file")
 @click.option("--machine", is_flag=True, help="print JSON in place of a table")
-def soak(minutes: float, every: float, gateways: int, districts: int, lean: float, without: bool, seed: int,
-         out: str | None, machine: bool) -> None:
+def soak(
+    minutes: float,
+    every: float,
+    gateways: int,
+    districts: int,
+    lean: float,
+    without: bool,
+    seed: int,
+    out: str | None,
+    machine: bool,
+) -> None:
     """Gateways that may not speak lend through a counter that is replaced, split, lost, late, busy and spoilt in turn.
 
     \b
@@ -103,14 +136,20 @@
     seconds = 60.0 * minutes
     with tempfile.TemporaryDirectory() as folder:
         operator = prepare(folder, {"quota": {"on": True, "counter": "never" if without else "alone"}})
-        asked = Demand(rate=2.0 * districts * CounterSoak.RATE, clients=64, districts=districts, keyed_share=0.0,
-                       lean=lean)
-        world = CounterSoak(Setup(seconds, 8, gateways, asked, seed=seed, operator=operator, speak=False, counters=2),
-                            every)
+        asked = Demand(
+            rate=2.0 * districts * CounterSoak.RATE, clients=64, districts=districts, keyed_share=0.0, lean=lean
+        )
+        world = CounterSoak(
+            Setup(seconds, 8, gateways, asked, seed=seed, operator=operator, speak=False, counters=2), every
+        )
         outcome = world.outcome(asyncio.run(world.run()))
-    stated = {name: round(worst(Terms(*terms, gateways, True), seconds, Links().wait_ms, 0), 1)
-              for name, terms in (("stated_error_units", (CounterSoak.RATE, CounterSoak.BURST)),
-                                  ("stated_large_error_units", CounterSoak.LARGE))}
+    stated = {
+        name: round(worst(Terms(*terms, gateways, True), seconds, Links().wait_ms, 0), 1)
+        for name, terms in (
+            ("stated_error_units", (CounterSoak.RATE, CounterSoak.BURST)),
+            ("stated_large_error_units", CounterSoak.LARGE),
+        )
+    }
     place = list(outcome).index("ceiling_passed")
     rows = list(outcome.items())
     finish(world, dict([*rows[:place], *stated.items(), *rows[place:]]), beyond_stated, out, machine)
@@ -118,9 +157,14 @@
 
 def beyond_stated(outcome: dict[str, object]) -> list[str]:
     """Give what a soak of the counter found."""
-    found = [f"{outcome[name]} units beyond, {outcome[stated]} are stated" for name, stated in (
-        ("worst_error_units", "stated_error_units"), ("large_error_units", "stated_large_error_units"))
-        if float(str(outcome[name])) > float(str(outcome[stated]))]
+    found = [
+        f"{outcome[name]} units beyond, {outcome[stated]} are stated"
+        for name, stated in (
+            ("worst_error_units", "stated_error_units"),
+            ("large_error_units", "stated_large_error_units"),
+        )
+        if float(str(outcome[name])) > float(str(outcome[stated]))
+    ]
     found += [f"{name}: {outcome[name]}" for name in ("ceiling_passed", "lost", "broken") if outcome[name]]
     codes = outcome["exit_codes"]
     assert isinstance(codes, list)
--- a/petrelhall/cli/schema.py
+++ b/petrelhall/cli/schema.py
@@ -10,8 +10,12 @@
 
 
 @click.command()
-@click.option("--check", "held", type=click.Path(exists=True, dir_okay=False),
-              help="compare with this file instead of printing; exit code 1 where it differs")
+@click.option(
+    "--check",
+    "held",
+    type=click.Path(exists=True, dir_okay=False),
+    help="compare with this file instead of printing; exit code 1 where it differs",
+)
 def schema(held: str | None) -> None:
     """Print the JSON schema of the operators' file.
 
--- a/petrelhall/cli/shift.py
+++ b/petrelhall/cli/shift.py
@@ -77,8 +77,13 @@
 
 @shift.command()
 @click.argument("file", type=click.Path())
-@click.option("--rate", default=100.0, show_default=True, type=click.FloatRange(0.1, 5000.0),
-              help="requests a second that may move, at the gateways that share evidence")
+@click.option(
+    "--rate",
+    default=100.0,
+    show_default=True,
+    type=click.FloatRange(0.1, 5000.0),
+    help="requests a second that may move, at the gateways that share evidence",
+)
 @click.option("--json", "machine", is_flag=True, help="print JSON")
 def plan(file: str, rate: float, machine: bool) -> None:
     """Tell how long each step of a move needs, for targets equal to the source and 5 to 30% slower.
@@ -129,8 +134,13 @@
             try:
                 entry = json.loads(line)
                 kind = tuple(entry["kind"]) if isinstance(entry["kind"], list) else entry["kind"]
-                answer = Answer(kind, float(entry["latency_ms"]), bool(entry["error"]), bool(entry["censored"]),
-                                str(entry["district"]))
+                answer = Answer(
+                    kind,
+                    float(entry["latency_ms"]),
+                    bool(entry["error"]),
+                    bool(entry["censored"]),
+                    str(entry["district"]),
+                )
                 now, target = float(entry["at_ms"]), bool(entry["target"])
             except (ValueError, KeyError, TypeError) as error:
                 click.echo(f"petrelhall: {log}: line {number}: {error!r}", err=True)
@@ -142,8 +152,14 @@
             if judgement is Judgement.WORSE and worse_at is None:
                 worse_at, words = (now - first) / 1000.0, reason
     judgement, reason = mover.judge.judgement()
-    result = {"answers": seen, "matched": mover.judge.matched, "unmatched": mover.judge.unmatched,
-              "worse_after_s": worse_at, "reason": words or reason, "at_the_end": judgement.value}
+    result = {
+        "answers": seen,
+        "matched": mover.judge.matched,
+        "unmatched": mover.judge.unmatched,
+        "worse_after_s": worse_at,
+        "reason": words or reason,
+        "at_the_end": judgement.value,
+    }
     if machine:
         as_json(result)
     else:
@@ -157,40 +173,70 @@
     steps = [{"share": share, "least_s": least_s, "least_evidence": 50} for share in (0.1, 0.25, 0.5, 0.9, 1.0)]
     path = os.path.join(folder, "operator.json")
     with open(path, "w") as file:
-        json.dump({"shift": {
-            "pools": [{"name": "old", "kind": "m1"}, {"name": "new", "kind": "m2"}],
-            "move": {"name": "demo", "source": "old", "target": "new", "steps": steps}}}, file)
+        json.dump(
+            {
+                "shift": {
+                    "pools": [{"name": "old", "kind": "m1"}, {"name": "new", "kind": "m2"}],
+                    "move": {"name": "demo", "source": "old", "target": "new", "steps": steps},
+                }
+            },
+            file,
+        )
     return path
 
 
 def moment(world: World, *states: str) -> float | None:
     """Give when the first gateway came into one of some states."""
-    return min((at for gateway in world.gateways for at, turn in gateway.turns if turn["state"] in states),
-               default=None)
+    return min(
+        (at for gateway in world.gateways for at, turn in gateway.turns if turn["state"] in states), default=None
+    )
 
 
 def figures(world: World, report: dict[str, Any], slowed_at: float, slow: float) -> dict[str, Any]:
     """Give what a played move ends with; ``wrong_pool`` counts attempts at the target long after it was undone."""
     began = world.began + slowed_at
     halted = moment(world, "halted", "undoing")
-    last = [max((at for at, turn in gateway.turns if turn["state"] == "undone"), default=None)
-            for gateway in world.gateways]
+    last = [
+        max((at for at, turn in gateway.turns if turn["state"] == "undone"), default=None) for gateway in world.gateways
+    ]
     undone = None if any(at is None for at in last) else max(at for at in last if at is not None)
     grace = world.setup.demand.deadline_ms / 1000.0
-    wrong = 0 if undone is None else sum(
-        at > undone + grace for box in world.boxes if box.kind == "m2" for at in world.judge.sent_at[box.name])
+    wrong = (
+        0
+        if undone is None
+        else sum(at > undone + grace for box in world.boxes if box.kind == "m2" for at in world.judge.sent_at[box.name])
+    )
     wrong_rules = verdict(report)
     shares = [turn["share"] for gateway in world.gateways for _, turn in gateway.turns]
     return {
-        **{name: report[name] for name in ("requests", "served", "refused", "failed", "p50_ms", "p99_ms",
-                                           "cpu_ms_per_request", "memory_mb", "keys_run_twice")},
-        "slow": slow, "most_share": max(shares, default=0.0), "wrong": wrong_rules,
-        "turns": [[round(at - world.began, 1), gateway.number, turn] for gateway in world.gateways
-                  for at, turn in gateway.turns],
+        **{
+            name: report[name]
+            for name in (
+                "requests",
+                "served",
+                "refused",
+                "failed",
+                "p50_ms",
+                "p99_ms",
+                "cpu_ms_per_request",
+                "memory_mb",
+                "keys_run_twice",
+            )
+        },
+        "slow": slow,
+        "most_share": max(shares, default=0.0),
+        "wrong": wrong_rules,
+        "turns": [
+            [round(at - world.began, 1), gateway.number, turn]
+            for gateway in world.gateways
+            for at, turn in gateway.turns
+        ],
         "done": sum(any(turn["state"] == "done" for _, turn in gateway.turns) for gateway in world.gateways),
         "halted_after_s": None if halted is None else round(halted - began, 2),
         "undone_after_s": None if undone is None else round(undone - began, 2),
-        "rules_broken": sum(report["broken"].values()), "unanswered": report["unanswered"], "wrong_pool": wrong,
+        "rules_broken": sum(report["broken"].values()),
+        "unanswered": report["unanswered"],
+        "wrong_pool": wrong,
     }
 
 
@@ -204,8 +250,12 @@
             turn = gateway.turns[-1][1]
             table.add_row(f"n{gateway.number}", turn["state"], f"{turn['share']:.2f}", turn["reason"])
     recent = time.monotonic() - 2.0
-    counts = {kind: sum(sum(at > recent for at in world.judge.sent_at[box.name][-2000:]) for box in world.boxes
-                        if box.kind == kind) for kind in ("m1", "m2")}
+    counts = {
+        kind: sum(
+            sum(at > recent for at in world.judge.sent_at[box.name][-2000:]) for box in world.boxes if box.kind == kind
+        )
+        for kind in ("m1", "m2")
+    }
     whole = max(1, sum(counts.values()))
     for kind, name in (("m1", "old"), ("m2", "new")):
         table.add_row(f"pool {name}", "", f"{counts[kind] / whole:.2f}", "#" * int(40 * counts[kind] / whole))
@@ -213,8 +263,13 @@
 
 
 @shift.command()
-@click.option("--slow", default=1.3, show_default=True, type=click.FloatRange(0.1, 20.0),
-              help="the target's service takes so many times longer")
+@click.option(
+    "--slow",
+    default=1.3,
+    show_default=True,
+    type=click.FloatRange(0.1, 20.0),
+    help="the target's service takes so many times longer",
+)
 @click.option("--slow-at", default=10.0, show_default=True, type=click.FloatRange(0.0, 600.0), help="from this second")
 @click.option("--seconds", default=50.0, show_default=True, type=click.FloatRange(5.0, 900.0))
 @click.option("--rate", default=180.0, show_default=True, type=click.FloatRange(1.0, 1000.0))
@@ -223,8 +278,17 @@
 @click.option("--least-s", default=5.0, show_default=True, type=click.FloatRange(0.0, 600.0), help="time of a step")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "out", type=click.Path(), help="write the figures to this file")
-def demo(slow: float, slow_at: float, seconds: float, rate: float, boxes: int, gateways: int, least_s: float,
-         seed: int, out: str | None) -> None:
+def demo(
+    slow: float,
+    slow_at: float,
+    seconds: float,
+    rate: float,
+    boxes: int,
+    gateways: int,
+    least_s: float,
+    seed: int,
+    out: str | None,
+) -> None:
     """Play a move on the stand-ins: half of the boxes are the new pool, which slows down under way.
 
     \b
@@ -234,8 +298,17 @@
     script = Script((Fault(slow_at, "slow", tuple(range(1, boxes, 2)), factor=slow),))
     with tempfile.TemporaryDirectory() as folder:
         # Long enough that what the machine itself adds on loopback (some ms) does not hide the boxes' own time.
-        setup = Setup(seconds, boxes, gateways, Demand(rate=rate), script, Model(service_ms=SERVICE_MS), seed=seed,
-                      kinds=("m1", "m2"), operator=operators_file(folder, least_s))
+        setup = Setup(
+            seconds,
+            boxes,
+            gateways,
+            Demand(rate=rate),
+            script,
+            Model(service_ms=SERVICE_MS),
+            seed=seed,
+            kinds=("m1", "m2"),
+            operator=operators_file(folder, least_s),
+        )
         world = World(setup)
         if OUT.is_terminal:
             with Live(console=OUT, refresh_per_second=2) as live:
--- a/petrelhall/cli/show.py
+++ b/petrelhall/cli/show.py
@@ -14,8 +14,10 @@
 
 def verdict(report: dict[str, Any]) -> list[str]:
     """Give what is wrong with a run: broken rules, and requests without exactly one final answer."""
-    wrong = [f"rule broken: {name}, {count} times, such as {report['examples'][name]}"
-             for name, count in report["broken"].items()]
+    wrong = [
+        f"rule broken: {name}, {count} times, such as {report['examples'][name]}"
+        for name, count in report["broken"].items()
+    ]
     if report["final_answers"] != report["requests"]:
         wrong.append(f"{report['requests']} requests had {report['final_answers']} final answers")
     wrong += [f"{report[name]} requests {name}" for name in RULED if report[name]]
@@ -26,8 +28,9 @@
     if report["upgrades"] and report["crossed"] + report["unreached"]:
         wrong.append(f"{report['crossed']} requests met their connection's end, {report['unreached']} a closed door")
     wrong += [f"upgrade: {reason}" for reason in report["upgrades_wrong"]]
-    wrong += [f"gateway {number} ended with exit code {code}"
-              for number, code in enumerate(report["exit_codes"]) if code]
+    wrong += [
+        f"gateway {number} ended with exit code {code}" for number, code in enumerate(report["exit_codes"]) if code
+    ]
     return wrong
 
 
@@ -40,11 +43,14 @@
     def at(share: float) -> str:
         return f"{latencies[int(share * (len(latencies) - 1))]:.0f} ms" if latencies else "-"
 
-    shown = Table(title=(
-        f"{time.monotonic() - world.began:.0f} s of {world.setup.seconds:.0f}: {crowd.asked} asked, "
-        f"{seen['served']} served, {seen['refused']} refused, {seen['failed']} failed, "
-        f"p50 {at(0.5)}, p99 {at(0.99)}, {seen['stale_attempts']} stale, "
-        f"{sum(world.judge.broken.values())} rules broken"))
+    shown = Table(
+        title=(
+            f"{time.monotonic() - world.began:.0f} s of {world.setup.seconds:.0f}: {crowd.asked} asked, "
+            f"{seen['served']} served, {seen['refused']} refused, {seen['failed']} failed, "
+            f"p50 {at(0.5)}, p99 {at(0.99)}, {seen['stale_attempts']} stale, "
+            f"{sum(world.judge.broken.values())} rules broken"
+        )
+    )
     for name in ("box", "state", "connections", "peak", "opened", "in work", "served", "turned away", "faults"):
         shown.add_column(name, justify="left" if name in ("box", "state", "faults") else "right")
     for box in world.boxes:
@@ -56,18 +62,52 @@
         state = "down" if box.listener is None else "draining" if box.drained_at else "ready"
         if state == "ready" and box.started and time.monotonic() - box.started < box.model.cold_s:
             state = "cold"
-        shown.add_row(box.name, state, *(str(number) for number in (
-            len(box.lines), box.seen.peak, box.seen.opened, box.working, box.seen.served, box.seen.turned_away)),
-            ", ".join(wrong))
+        shown.add_row(
+            box.name,
+            state,
+            *(
+                str(number)
+                for number in (
+                    len(box.lines),
+                    box.seen.peak,
+                    box.seen.opened,
+                    box.working,
+                    box.seen.served,
+                    box.seen.turned_away,
+                )
+            ),
+            ", ".join(wrong),
+        )
     return shown
 
 
 def summary(report: dict[str, Any]) -> Table:
     """Give the figures of a run as a table."""
     shown = Table(title="summary", show_header=False)
-    for name in ("requests", "final_answers", "served", "refused", "failed", "unanswered", "crossed", "unreached",
-                 "upgrades", "late", "p50_ms", "p99_ms", "attempts", "stale_attempts", "stale_after_learning_per_1000",
-                 "failed_on_stale", "opened", "opened_ahead", "retired", "connections_per_1000",
-                 "cold_opened_first_s", "cpu_ms_per_request", "memory_mb"):
+    for name in (
+        "requests",
+        "final_answers",
+        "served",
+        "refused",
+        "failed",
+        "unanswered",
+        "crossed",
+        "unreached",
+        "upgrades",
+        "late",
+        "p50_ms",
+        "p99_ms",
+        "attempts",
+        "stale_attempts",
+        "stale_after_learning_per_1000",
+        "failed_on_stale",
+        "opened",
+        "opened_ahead",
+        "retired",
+        "connections_per_1000",
+        "cold_opened_first_s",
+        "cpu_ms_per_request",
+        "memory_mb",
+    ):
         shown.add_row(name.replace("_", " "), str(report[name]))
     return shown
--- a/petrelhall/cli/soak.py
+++ b/petrelhall/cli/soak.py
@@ -23,15 +23,39 @@
 @click.option("--operator", default="", type=click.Path(), help="operators' file for the gateways")
 @click.option("--program", default="", type=click.Path(), help="folder of another checkout whose gateway is to run")
 @click.option("--sockets", default=1024, show_default=True, help="descriptors that a gateway may hold")
-@click.option("--upgrades", default=0, show_default=True, type=click.IntRange(0, 500),
-              help="times that a gateway is replaced by a second process while it serves")
-@click.option("--paced", default=0, show_default=True, type=click.IntRange(0, 2000),
-              help="clients besides that keep a connection each and pause 0.05 to 0.6 s between requests")
+@click.option(
+    "--upgrades",
+    default=0,
+    show_default=True,
+    type=click.IntRange(0, 500),
+    help="times that a gateway is replaced by a second process while it serves",
+)
+@click.option(
+    "--paced",
+    default=0,
+    show_default=True,
+    type=click.IntRange(0, 2000),
+    help="clients besides that keep a connection each and pause 0.05 to 0.6 s between requests",
+)
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "out", type=click.Path(), help="write the figures to this file")
 @click.option("--machine", is_flag=True, help="print JSON in place of tables")
-def soak(minutes: float, boxes: int, gateways: int, rate: float, clients: int, faults: str | None, operator: str,
-         program: str, sockets: int, upgrades: int, paced: int, seed: int, out: str | None, machine: bool) -> None:
+def soak(
+    minutes: float,
+    boxes: int,
+    gateways: int,
+    rate: float,
+    clients: int,
+    faults: str | None,
+    operator: str,
+    program: str,
+    sockets: int,
+    upgrades: int,
+    paced: int,
+    seed: int,
+    out: str | None,
+    machine: bool,
+) -> None:
     """Run real gateways for minutes against boxes whose hidden idle limits change.
 
     \b
@@ -44,8 +68,18 @@
         script = read(faults) if faults else changing_limits(seconds, boxes, seed)
     except (OSError, msgspec.MsgspecError) as error:
         raise click.UsageError(f"--faults: {error}") from error
-    setup = Setup(seconds, boxes, gateways, Demand(rate=rate, clients=clients, paced=paced), script, seed=seed,
-                  operator=operator, program=program, sockets=sockets, upgrades=upgrades)
+    setup = Setup(
+        seconds,
+        boxes,
+        gateways,
+        Demand(rate=rate, clients=clients, paced=paced),
+        script,
+        seed=seed,
+        operator=operator,
+        program=program,
+        sockets=sockets,
+        upgrades=upgrades,
+    )
     report, wrong = play(setup, machine)
     if out:
         with open(out, "w") as file:
--- a/petrelhall/cli/standin.py
+++ b/petrelhall/cli/standin.py
@@ -34,6 +34,7 @@
 
 def run_for(seconds: float, start: Callable[[], Awaitable[None]]) -> None:
     """Run until the time is up or a signal comes."""
+
     async def whole() -> None:
         ended = asyncio.Event()
         for number in (signal.SIGINT, signal.SIGTERM):
@@ -61,8 +62,14 @@
     Example: petrelhall stand-in boxes --count 6 --port 8500
     """
     try:
-        setup = Setup(seconds, count, 0, script=read(faults) if faults else Setup().script,
-                      model=Model(service_ms=service_ms), seed=seed)
+        setup = Setup(
+            seconds,
+            count,
+            0,
+            script=read(faults) if faults else Setup().script,
+            model=Model(service_ms=service_ms),
+            seed=seed,
+        )
     except (OSError, msgspec.MsgspecError) as error:
         raise click.UsageError(f"--faults: {error}") from error
     if any(fault.do in ("kill_gateway", "restart_gateway") for fault in setup.script.faults):
@@ -79,8 +86,15 @@
 
     run_for(seconds, start)
     report = world.judge.report()
-    as_json({**report, "boxes": {box.name: {"opened": box.seen.opened, "peak": box.seen.peak,
-                                            "served": box.seen.served} for box in world.boxes + world.gone}})
+    as_json(
+        {
+            **report,
+            "boxes": {
+                box.name: {"opened": box.seen.opened, "peak": box.seen.peak, "served": box.seen.served}
+                for box in world.boxes + world.gone
+            },
+        }
+    )
     sys.exit(1 if report["broken"] else 0)
 
 
@@ -131,4 +145,3 @@
     wrong = report["broken"] or report["final_answers"] != clients.asked or report.get("unanswered")
     OUT.print("every request had exactly one final answer" if not wrong else "WRONG", style="bold")
     sys.exit(1 if wrong else 0)
-
--- a/petrelhall/control/bans.py
+++ b/petrelhall/control/bans.py
@@ -94,8 +94,13 @@
         raise BansError("servers: must be an object")
     marks = {}
     for server, mark in servers.items():
-        if (not isinstance(mark, list) or len(mark) != 2 or mark[0] not in (0, 1)
-                or not isinstance(mark[1], int | float) or isinstance(mark[1], bool)):
+        if (
+            not isinstance(mark, list)
+            or len(mark) != 2
+            or mark[0] not in (0, 1)
+            or not isinstance(mark[1], int | float)
+            or isinstance(mark[1], bool)
+        ):
             raise BansError(f"servers.{server}: must be [0 or 1, Unix ms]")
         marks[server] = Mark(bool(mark[0]), float(mark[1]))
     return marks
--- a/petrelhall/decide/gossip.py
+++ b/petrelhall/decide/gossip.py
@@ -19,8 +19,9 @@
 Entries = list[tuple[int, float]]
 
 
-def encode(uses: Iterable[tuple[int, float]], opens: Iterable[tuple[int, int]] = (),
-           sums: dict[int, int] | None = None) -> bytes:
+def encode(
+    uses: Iterable[tuple[int, float]], opens: Iterable[tuple[int, int]] = (), sums: dict[int, int] | None = None
+) -> bytes:
     """Write units sent on by customer, to half a unit, and attempts out; ``sums`` is brought up to date."""
     told = []
     for code, units in uses:
@@ -35,8 +36,9 @@
     return VERSION + bytes([len(told)]) + b"".join(told + out)
 
 
-def pack(told: dict[int, float], opened: dict[int, int],
-         sums: dict[int, int] | None = None) -> tuple[bytes, dict[int, float], dict[int, int]]:
+def pack(
+    told: dict[int, float], opened: dict[int, int], sums: dict[int, int] | None = None
+) -> tuple[bytes, dict[int, float], dict[int, int]]:
     """Write as many as a message holds, attempts out first, and give back the rest."""
     opens, entries = list(opened.items()), list(told.items())
     most = ROOM // OPEN.size
--- a/petrelhall/decide/interface.py
+++ b/petrelhall/decide/interface.py
@@ -224,8 +224,16 @@
 
 
 Event = (
-    Started | ServerList | Arrival | StreamStarted | Outcome | ClientGone | Alarm
-    | ProbeResult | PeerMessage | CounterReply
+    Started
+    | ServerList
+    | Arrival
+    | StreamStarted
+    | Outcome
+    | ClientGone
+    | Alarm
+    | ProbeResult
+    | PeerMessage
+    | CounterReply
 )
 
 
--- a/petrelhall/decide/ledger.py
+++ b/petrelhall/decide/ledger.py
@@ -8,8 +8,9 @@
 SHARE_GAIN, PUT_RIGHT = 0.2, 0.25  # weight of a verdict; share of a burst that is worth a call
 
 
-def verdict(customer: Customer, asked: float, amount: float, told: float, units: float,
-            total: float) -> tuple[bool, float]:
+def verdict(
+    customer: Customer, asked: float, amount: float, told: float, units: float, total: float
+) -> tuple[bool, float]:
     """Let the store on the counter decide on a try, and give what must be added to keep it right.
 
     ``asked`` is when the call went out (ms), ``amount`` what it added, ``told`` the part of it that this try is.
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -73,7 +73,6 @@
         self.even, self.filled = 1.0 / max(1, self.set_size), self.seen
         self.bucket, self.shared = self.plan.burst * self.even, self.plan.burst
 
-
     def fill(self, elapsed: float, shared_rate: float, cap_rate: float, cap_most: float) -> None:
         """Fill the stores for some seconds at the given rates."""
         shared = self.shared + shared_rate * elapsed
--- a/petrelhall/emulate/accord.py
+++ b/petrelhall/emulate/accord.py
@@ -62,22 +62,45 @@
 
 
 TURNS = [
-    Turn("well"), Turn("lost", "lost"), Turn("0 proposes", propose=(0,)), Turn("0 and 1 propose", propose=(0, 1)),
-    Turn("0 proposes, late", "late", propose=(0,)), Turn("0 proposes, twice", "twice", propose=(0,)),
-    Turn("0 proposes, odd", "odd", propose=(0,), steps=6), Turn("1 proposes, odd", "odd", propose=(1,), steps=5),
+    Turn("well"),
+    Turn("lost", "lost"),
+    Turn("0 proposes", propose=(0,)),
+    Turn("0 and 1 propose", propose=(0, 1)),
+    Turn("0 proposes, late", "late", propose=(0,)),
+    Turn("0 proposes, twice", "twice", propose=(0,)),
+    Turn("0 proposes, odd", "odd", propose=(0,), steps=6),
+    Turn("1 proposes, odd", "odd", propose=(1,), steps=5),
     Turn("0 proposes and is killed", propose=(0,), started=0, steps=6),
     Turn("0 proposes, 1 is killed", propose=(0,), started=1, steps=6),
-    Turn("0 proposes and is stopped", propose=(0,), stopped=0, steps=3), Turn("1 is stopped", stopped=1, steps=30),
-    Turn("2 is killed", started=2), Turn("1 is killed", started=1, steps=4), Turn("late", "late"),
-    Turn("0 proposes, alone", cut=alone(0), propose=(0,)), Turn("2 is alone", cut=alone(2), steps=30),
+    Turn("0 proposes and is stopped", propose=(0,), stopped=0, steps=3),
+    Turn("1 is stopped", stopped=1, steps=30),
+    Turn("2 is killed", started=2),
+    Turn("1 is killed", started=1, steps=4),
+    Turn("late", "late"),
+    Turn("0 proposes, alone", cut=alone(0), propose=(0,)),
+    Turn("2 is alone", cut=alone(2), steps=30),
     Turn("1 proposes, 2 is alone", cut=alone(2), propose=(1,), steps=30),
     Turn("0 is not heard", cut=frozenset(((0, 1), (0, 2))), propose=(0,)),
-    Turn("0 proposes, only 1 votes and is heard later", propose=(0,), lose=(("Accept", 0, 2),),
-         late=(("Accepted", 1, 0),), steps=4),
-    Turn("0 proposes, nobody votes nor hears of it", propose=(0,), steps=4,
-         lose=tuple((name, 0, -1) for name in ("Accept", "Decided", "Ask", "Grant"))),
-    Turn("2 proposes, only 1 votes, 2 is killed", propose=(2,), lose=(("Accept", 2, 0), ("Accepted", 1, 2)), started=2,
-         steps=4),
+    Turn(
+        "0 proposes, only 1 votes and is heard later",
+        propose=(0,),
+        lose=(("Accept", 0, 2),),
+        late=(("Accepted", 1, 0),),
+        steps=4,
+    ),
+    Turn(
+        "0 proposes, nobody votes nor hears of it",
+        propose=(0,),
+        steps=4,
+        lose=tuple((name, 0, -1) for name in ("Accept", "Decided", "Ask", "Grant")),
+    ),
+    Turn(
+        "2 proposes, only 1 votes, 2 is killed",
+        propose=(2,),
+        lose=(("Accept", 2, 0), ("Accepted", 1, 2)),
+        started=2,
+        steps=4,
+    ),
     Turn("2 proposes, 0 is alone", cut=alone(0), propose=(2,), steps=30),
     Turn("0 proposes, 2 is alone", cut=alone(2), propose=(0,), steps=30),
     Turn("1 is killed, 0 is alone", cut=alone(0), started=1, at=0.0, steps=16),
@@ -123,9 +146,17 @@
         self.clocks[number] = rate, 1e6 * self.lives - rate * self.now
         self.dead.discard(number)
         memory, documents = self.disks.get(number, (None, ()))
-        self.cores[number] = self.kind(number, self.lives, self.pace, self.document,
-                                       check if number == 2 else anything,
-                                       self.lives, self.clock(number), memory, documents)
+        self.cores[number] = self.kind(
+            number,
+            self.lives,
+            self.pace,
+            self.document,
+            check if number == 2 else anything,
+            self.lives,
+            self.clock(number),
+            memory,
+            documents,
+        )
 
     def take(self, turn: Turn) -> None:
         """Let a turn pass."""
@@ -207,8 +238,9 @@
 
     def wrong(self) -> list[str]:
         """Give what the judge finds, with the histories as they are now."""
-        self.record.histories = [{version: digest.hex()[:8] for version, digest in core.history}
-                                 for core in self.cores.values()]
+        self.record.histories = [
+            {version: digest.hex()[:8] for version, digest in core.history} for core in self.cores.values()
+        ]
         verdict = self.record.judge()
         return verdict.examples if verdict.mixed or verdict.lost_changes or verdict.wrong_answers else []
 
@@ -303,8 +335,17 @@
     wrong: tuple[str, ...]
 
 
-def fleet(members: int, changes: int, links: Links, seed: int, down: float = 0.0, cut_off: float = 0.0,
-          messages_per_s: float = 100.0, share: float = 0.3, strictest: bool = False) -> Fleet:
+def fleet(
+    members: int,
+    changes: int,
+    links: Links,
+    seed: int,
+    down: float = 0.0,
+    cut_off: float = 0.0,
+    messages_per_s: float = 100.0,
+    share: float = 0.3,
+    strictest: bool = False,
+) -> Fleet:
     """Have changes proposed one after another; from the first on a share of the members is killed, or cut off."""
     paces = pace(members, 7, messages_per_s, share, 2000.0, 0.0, 300.0, strictest)
     driver, record = Cores(paces, seed), Record()
@@ -340,7 +381,7 @@
     began, words_before = fabric.now, sum(driver.words.values())
     before = Counter(driver.words)
     in_force, everywhere = [], []
-    spared = set(sorted(paces.voters)[:paces.majority])
+    spared = set(sorted(paces.voters)[: paces.majority])
     for serial in range(changes):
         if serial == 0 and (down or cut_off):
             others = [number for number in range(members) if number not in spared]
@@ -362,6 +403,7 @@
 
         def all_serve(version: int = version) -> bool:
             return all(core.allowed(fabric.now) and core.known.version >= version for core in running())
+
         settle(ended, longest)
         change = core.changes[-1]
         if change.state == "in force":
@@ -378,6 +420,11 @@
     verdict = record.judge()
     seconds = (fabric.now - began) / 1000.0
     busiest = max(driver.words[number] - before[number] for number in range(members))
-    return Fleet(tuple(in_force), tuple(everywhere), sum(seen) / len(seen),
-                 (sum(driver.words.values()) - words_before) / seconds / members, busiest / seconds,
-                 tuple(verdict.examples))
+    return Fleet(
+        tuple(in_force),
+        tuple(everywhere),
+        sum(seen) / len(seen),
+        (sum(driver.words.values()) - words_before) / seconds / members,
+        busiest / seconds,
+        tuple(verdict.examples),
+    )
--- a/petrelhall/emulate/exchange.py
+++ b/petrelhall/emulate/exchange.py
@@ -33,14 +33,21 @@
 
 
 TURNS = [
-    *(Turn(f"{counter}, {want} want", counter, False, want, want)
-      for counter in ("well", "busy", "gone", "deaf", "late", "split") for want in ((0,), (1, 2))),
-    *(Turn(f"{counter} and replaced, {want} want", counter, True, want, want)
-      for counter, want in (("well", (0,)), ("slow", (0,)), ("slow", (0, 1)))),
+    *(
+        Turn(f"{counter}, {want} want", counter, False, want, want)
+        for counter in ("well", "busy", "gone", "deaf", "late", "split")
+        for want in ((0,), (1, 2))
+    ),
+    *(
+        Turn(f"{counter} and replaced, {want} want", counter, True, want, want)
+        for counter, want in (("well", (0,)), ("slow", (0,)), ("slow", (0, 1)))
+    ),
     Turn("slow, (0, 1) want", "slow", False, (0, 1), (0, 1)),
     *(Turn(f"{number} starts anew", started=number) for number in range(3)),
-    *(Turn(f"{number} stopped", stopped=number, want=((number + 1) % 3,), spend=((number + 1) % 3,))
-      for number in range(3)),
+    *(
+        Turn(f"{number} stopped", stopped=number, want=((number + 1) % 3,), spend=((number + 1) % 3,))
+        for number in range(3)
+    ),
 ]
 
 
@@ -68,8 +75,9 @@
     def take(self, turn: Turn) -> None:
         """Let a turn pass."""
         if turn.started is not None:
-            self.late, self.queue = ([entry for entry in calls if entry[0] != turn.started]
-                                     for calls in (self.late, self.queue))
+            self.late, self.queue = (
+                [entry for entry in calls if entry[0] != turn.started] for calls in (self.late, self.queue)
+            )
             self.start(turn.started)
         waiting, self.late = self.late, []
         for step in range(STEPS):
@@ -135,16 +143,30 @@
 
     def key(self) -> object:
         """Give what the future depends on."""
+
         def near(value: float) -> float:
             return round(value, 2)
+
         rows = []
         for number, account in sorted(self.accounts.items()):
             share, now = account.share, self.clock(number)
-            rows.append((near(share.store), near(now - share.filled), near(share.demand),
-                         tuple((near(until - now), units) for until, units in share.lent),
-                         tuple((near(until - now), units) for until, units in share.held)))
-        parts = tuple(tuple((name, near(total), near(until - self.now)) for name, (total, until) in sorted(part.items())
-                            if until > self.now) for part in self.parts)
+            rows.append(
+                (
+                    near(share.store),
+                    near(now - share.filled),
+                    near(share.demand),
+                    tuple((near(until - now), units) for until, units in share.lent),
+                    tuple((near(until - now), units) for until, units in share.held),
+                )
+            )
+        parts = tuple(
+            tuple(
+                (name, near(total), near(until - self.now))
+                for name, (total, until) in sorted(part.items())
+                if until > self.now
+            )
+            for part in self.parts
+        )
         waiting = tuple((one, call.name, call.amount) for one, call in (*self.late, *self.queue))
         return tuple(rows), near(self.store.level), parts, waiting, len(self.unheard)
 
--- a/petrelhall/emulate/fabric.py
+++ b/petrelhall/emulate/fabric.py
@@ -91,7 +91,7 @@
         """Put datagrams on their ways."""
         links, draw = self.links, self.random
         for to, content in datagrams:
-            for receiver in (range(self.nodes) if to is None else (to,)):
+            for receiver in range(self.nodes) if to is None else (to,):
                 if receiver == sender:
                     continue
                 self.datagrams += 1
@@ -100,9 +100,11 @@
                     continue
                 for _ in range(2 if links.repeat and draw.random() < links.repeat else 1):
                     if draw.random() >= links.loss:
-                        self.at(self.now + draw.uniform(*links.delay_ms),
-                                lambda receiver=receiver, content=content:  # type: ignore[misc]
-                                self.give(sender, receiver, content))
+                        self.at(
+                            self.now + draw.uniform(*links.delay_ms),
+                            lambda receiver=receiver, content=content:  # type: ignore[misc]
+                            self.give(sender, receiver, content),
+                        )
 
     def give(self, sender: int, receiver: int, content: bytes) -> None:
         """Have a datagram arrive."""
--- a/petrelhall/emulate/members.py
+++ b/petrelhall/emulate/members.py
@@ -71,8 +71,17 @@
         return max(self.found_ms, default=float("nan"))
 
 
-def play(members: int, killed: int, links: Links, seed: int, messages_per_s: float = 100.0, share: float = 0.1,
-         late_ms: float = 300.0, quiet_s: float = 0.0, cut: bool = False) -> Outcome:
+def play(
+    members: int,
+    killed: int,
+    links: Links,
+    seed: int,
+    messages_per_s: float = 100.0,
+    share: float = 0.1,
+    late_ms: float = 300.0,
+    quiet_s: float = 0.0,
+    cut: bool = False,
+) -> Outcome:
     """Let gateways start and settle, lose some (dead, or cut off from the others), and look on until all know.
 
     Where half or more are lost no gateway may call them failed: then a doubt counts as found.
@@ -84,8 +93,9 @@
     until = 20.0 * paces.fail_ms + quiet_s * 1000.0
     while fabric.now < until:
         fabric.run(fabric.now + 250.0)
-        if settled is None and all(member.state == "here" for core in fabric.cores.values()
-                                   for member in core.members.values()):
+        if settled is None and all(
+            member.state == "here" for core in fabric.cores.values() for member in core.members.values()
+        ):
             settled = fabric.now
         if settled is not None and fabric.now - settled >= min(CALM_MS, paces.hear_ms) + quiet_s * 1000.0:
             break
@@ -109,22 +119,38 @@
         elif change.state == "failed" and not dead:
             wrong += 1
     span_s = fabric.now / 1000.0
-    return Outcome(list(found.values()), killed * (members - killed) - len(found), doubts, wrong,
-                   fabric.bytes / span_s / members, fabric.datagrams / span_s / members,
-                   settled if settled is not None else float("nan"))
+    return Outcome(
+        list(found.values()),
+        killed * (members - killed) - len(found),
+        doubts,
+        wrong,
+        fabric.bytes / span_s / members,
+        fabric.datagrams / span_s / members,
+        settled if settled is not None else float("nan"),
+    )
 
 
 def stated(paces: Pace) -> Stated:
     """Give what gateways state of these paces, as the judge takes it."""
-    return Stated(paces.fail_ms / 1000.0, paces.found_ms / 1000.0, (paces.found_ms - paces.fail_ms) / 1000.0,
-                  paces.hear_ms / 1000.0)
+    return Stated(
+        paces.fail_ms / 1000.0,
+        paces.found_ms / 1000.0,
+        (paces.found_ms - paces.fail_ms) / 1000.0,
+        paces.hear_ms / 1000.0,
+    )
 
 
 class Scene:
     """Some gateways in simulated time, what is done to them, and the judge of what they say. Times in seconds."""
 
-    def __init__(self, members: int, seed: int = 1, links: Links | None = None, paces: Pace | None = None,
-                 core: type[Members] = Members) -> None:
+    def __init__(
+        self,
+        members: int,
+        seed: int = 1,
+        links: Links | None = None,
+        paces: Pace | None = None,
+        core: type[Members] = Members,
+    ) -> None:
         self.pace = paces or pace(members, 100.0, 0.1, 300.0)
         self.driver = Membership(self.pace, seed, core=core)
         self.links = links or Links()
@@ -147,8 +173,14 @@
     def mark(self) -> None:
         """Keep how things stand from now on."""
         alive = set(self.fabric.cores)
-        self.moments.append(Moment(self.now, frozenset(alive - set(self.fabric.stopped)), frozenset(self.closed),
-                                   frozenset(set(range(self.pace.members)) - alive)))
+        self.moments.append(
+            Moment(
+                self.now,
+                frozenset(alive - set(self.fabric.stopped)),
+                frozenset(self.closed),
+                frozenset(set(range(self.pace.members)) - alive),
+            )
+        )
 
     def run(self, seconds: float) -> Scene:
         """Let time pass."""
@@ -197,8 +229,11 @@
 
     def verdict(self) -> Verdict:
         """Have all of it judged."""
-        said = [Said(when / 1000.0, who, life, change.number, change.state, change.life)
-                for when, who, life, change in self.driver.said if change.state != "away"]
+        said = [
+            Said(when / 1000.0, who, life, change.number, change.state, change.life)
+            for when, who, life, change in self.driver.said
+            if change.state != "away"
+        ]
         return History(self.pace.members, self.moments, said, self.now, stated(self.pace)).judge()
 
 
@@ -228,7 +263,9 @@
 
 PAIRS = [(one, other) for one in range(3) for other in range(3) if one != other]
 TURNS = [
-    Turn("well"), Turn("replay", replay=True), Turn("all cut", frozenset(PAIRS)),
+    Turn("well"),
+    Turn("replay", replay=True),
+    Turn("all cut", frozenset(PAIRS)),
     *(Turn(f"{n} cut off", frozenset(pair for pair in PAIRS if n in pair)) for n in range(3)),
     *(Turn(f"{n} not heard", frozenset(pair for pair in PAIRS if pair[0] == n)) for n in range(3)),
     *(Turn(f"{n} hears nobody", frozenset(pair for pair in PAIRS if pair[1] == n)) for n in range(3)),
@@ -240,8 +277,9 @@
 ]
 # News goes from one to a second and on to a third in three words of each at most: that is the spread. A loss of three
 # turns is to be found, one of two turns may be.
-SMALL = Pace(3, word_ms=400.0, step_ms=400.0, spread_ms=1200.0, doubt_ms=2200.0, fail_ms=4400.0, hear_ms=2000.0,
-             observers=2)
+SMALL = Pace(
+    3, word_ms=400.0, step_ms=400.0, spread_ms=1200.0, doubt_ms=2200.0, fail_ms=4400.0, hear_ms=2000.0, observers=2
+)
 TURN_MS = 2400.0
 
 
@@ -261,10 +299,26 @@
         """Give what the future depends on: times count from now, and random draws, which are lost, do not."""
         rows = []
         for number, core in sorted(self.cores.items()):
-            rows.append((number, core.life, core.old_until - self.now if core.old(self.now) else 0.0, tuple(
-                (member.state, member.life, min(9999.0, self.now - member.fresh), member.counter - core.counter,
-                 min(9999.0, self.now - member.heard), member.hears, member.misses, member.old)
-                for member in core.members.values())))
+            rows.append(
+                (
+                    number,
+                    core.life,
+                    core.old_until - self.now if core.old(self.now) else 0.0,
+                    tuple(
+                        (
+                            member.state,
+                            member.life,
+                            min(9999.0, self.now - member.fresh),
+                            member.counter - core.counter,
+                            min(9999.0, self.now - member.heard),
+                            member.hears,
+                            member.misses,
+                            member.old,
+                        )
+                        for member in core.members.values()
+                    ),
+                )
+            )
         return tuple(rows), tuple(sorted(self.waiting)), self.moments[-1]
 
     def start(self, number: int, core: type[Members]) -> None:
@@ -280,8 +334,9 @@
         if turn.started is not None:
             self.start(turn.started, core)
         running = frozenset(self.cores) - turn.stopped
-        self.moments.append(Moment(self.now / 1000.0, running, turn.closed,
-                                   frozenset(range(3)) - frozenset(self.cores)))
+        self.moments.append(
+            Moment(self.now / 1000.0, running, turn.closed, frozenset(range(3)) - frozenset(self.cores))
+        )
         for number in [number for number in self.waiting if number in running]:
             for sender, content in self.waiting.pop(number):
                 self.give(sender, number, content, turn)
@@ -312,7 +367,7 @@
                 self.said.append(Said(self.now / 1000.0, number, life, action.number, action.state, action.life))
             elif isinstance(action, Send):
                 self.first.setdefault(number, action.content)
-                for to in (range(3) if action.to is None else (action.to,)):
+                for to in range(3) if action.to is None else (action.to,):
                     if to != number:
                         self.give(number, to, action.content, turn)
 
@@ -338,7 +393,7 @@
     for _ in range(depth):
         following = []
         for path, state in edge:
-            for turn in (TURNS if path else filter(alike, TURNS)):
+            for turn in TURNS if path else filter(alike, TURNS):
                 world = pickle.loads(state)
                 world.take(turn, core)
                 found.paths += 1
--- a/petrelhall/emulate/quota.py
+++ b/petrelhall/emulate/quota.py
@@ -35,12 +35,16 @@
 
 
 TURNS = [
-    *(Turn(f"{carry}, {spend} spend", carry, 0, spend, want)
-      for carry in ("well", "lost", "late", "twice", "cut")
-      for spend, want in (((), (0,)), ((0,), (0,)), ((0, 1, 2), (0, 1, 2)), ((1,), (1, 2)))),
+    *(
+        Turn(f"{carry}, {spend} spend", carry, 0, spend, want)
+        for carry in ("well", "lost", "late", "twice", "cut")
+        for spend, want in (((), (0,)), ((0,), (0,)), ((0, 1, 2), (0, 1, 2)), ((1,), (1, 2)))
+    ),
     *(Turn(f"{number} starts anew", started=number, spend=(1,)) for number in range(3)),
-    *(Turn(f"{number} stopped", stopped=number, spend=((number + 1) % 3,), want=((number + 1) % 3,))
-      for number in range(3)),
+    *(
+        Turn(f"{number} stopped", stopped=number, spend=((number + 1) % 3,), want=((number + 1) % 3,))
+        for number in range(3)
+    ),
 ]
 
 
@@ -137,16 +141,29 @@
 
     def key(self) -> object:
         """Give what the future depends on."""
+
         def near(value: float) -> float:
             return round(value, 2)
+
         rows = []
         for number, account in sorted(self.accounts.items()):
             share, now = account.share, self.clock(number)
-            rows.append((near(share.store), near(now - share.filled), near(now - account.next_ask),
-                         tuple((near(until - now), units) for until, units in share.lent),
-                         tuple((near(until - now), units) for until, units in share.held)))
-        return tuple(rows), near(self.store.level), near(self.now - 1000.0 * self.store.at), tuple(
-            (receiver, sender) for receiver, sender, _ in self.late), tuple(self.held)
+            rows.append(
+                (
+                    near(share.store),
+                    near(now - share.filled),
+                    near(now - account.next_ask),
+                    tuple((near(until - now), units) for until, units in share.lent),
+                    tuple((near(until - now), units) for until, units in share.held),
+                )
+            )
+        return (
+            tuple(rows),
+            near(self.store.level),
+            near(self.now - 1000.0 * self.store.at),
+            tuple((receiver, sender) for receiver, sender, _ in self.late),
+            tuple(self.held),
+        )
 
 
 def explore(depth: int, kind: type[Share] = Share) -> Found:
@@ -170,9 +187,19 @@
     words_per_s: float  # of one gateway
 
 
-def fleet(gateways: int, districts: int, spread: int, seconds: float, seed: int, lend: bool = True,
-          loss: float = 0.0, split: bool = False, rate: float = 4.0, burst: float = 12.0,
-          words_per_s: float = 30.0) -> Fleet:
+def fleet(
+    gateways: int,
+    districts: int,
+    spread: int,
+    seconds: float,
+    seed: int,
+    lend: bool = True,
+    loss: float = 0.0,
+    split: bool = False,
+    rate: float = 4.0,
+    burst: float = 12.0,
+    words_per_s: float = 30.0,
+) -> Fleet:
     """Play Poisson demand of 1.5 times the quota, nine tenths of it at one gateway of each district's set."""
     draw = random.Random(seed)
     terms = Terms(rate, burst, spread)
@@ -198,8 +225,13 @@
                 if lend:  # the others of the set have met the district too
                     for step in range(spread):
                         other = (first[district] + step) % gateways
-                        ledgers[other].account(district, False, terms, tuple(
-                            (first[district] + far) % gateways for far in range(spread) if far != step), now)
+                        ledgers[other].account(
+                            district,
+                            False,
+                            terms,
+                            tuple((first[district] + far) % gateways for far in range(spread) if far != step),
+                            now,
+                        )
                 ledgers[number].want(account, now, 1.0)
                 if account.share.available(now) >= 1.0:
                     account.share.spend(now, 1.0)
@@ -212,7 +244,6 @@
                 if isinstance(action, Send):
                     sent += 1
                     if draw.random() >= loss and not cut(sender, action.to):
-                        waiting += [(action.to, more) for more in
-                                    ledgers[action.to].heard(now, sender, action.content)]
+                        waiting += [(action.to, more) for more in ledgers[action.to].heard(now, sender, action.content)]
     stated = bounds(terms, seconds, 0.0)[0].beyond
     return Fleet(served / max(1, best), meter.worst(), stated, sent / seconds / gateways)
--- a/petrelhall/gateway/agreement.py
+++ b/petrelhall/gateway/agreement.py
@@ -63,22 +63,50 @@
 class Agreement:
     """One gateway's part in agreeing on the policy; not there where the operators' file does not ask for it."""
 
-    def __init__(self, loop: Loop, peers: Peers, settings: Settings, platform: api.Settings, name: str, seed: int,
-                 shared: Shared, check: Callable[[Shared], str], apply: Callable[[Shared, Shared | None], None],
-                 counts: Counts, log: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        peers: Peers,
+        settings: Settings,
+        platform: api.Settings,
+        name: str,
+        seed: int,
+        shared: Shared,
+        check: Callable[[Shared], str],
+        apply: Callable[[Shared, Shared | None], None],
+        counts: Counts,
+        log: Callable[[str], None],
+    ) -> None:
         self.loop, self.peers, self.settings, self.counts, self.log = loop, peers, settings, counts, log
         self.check, self.apply = check, apply
         self.number, self.name = platform.position, name
         now = now_ms()
-        paces = pace(platform.gateways, settings.voters, platform.peer_messages_per_s, settings.share,
-                     settings.lease_ms, settings.hold_ms, settings.late_ms, settings.unsure == "strictest")
+        paces = pace(
+            platform.gateways,
+            settings.voters,
+            platform.peer_messages_per_s,
+            settings.share,
+            settings.lease_ms,
+            settings.hold_ms,
+            settings.late_ms,
+            settings.unsure == "strictest",
+        )
         self.lock: int | None = None
         self.place = settings.folder or tempfile.gettempdir()
         alone = self.take_lock()  # else a process that this one replaces votes as long as it serves
         kept = self.load() if alone else None
         life = int.from_bytes(os.urandom(4), "big") >> 1 | 1  # never a number of an earlier life, by chance
-        self.core = Accord(self.number, life, paces, encode(shared), self.refused, seed, now,
-                           kept.memory if kept is not None else None, kept.documents if kept is not None else ())
+        self.core = Accord(
+            self.number,
+            life,
+            paces,
+            encode(shared),
+            self.refused,
+            seed,
+            now,
+            kept.memory if kept is not None else None,
+            kept.documents if kept is not None else (),
+        )
         self.core.may_vote = alone
         self.epoch = 0  # of what is served: decisions of another epoch are not carried out
         self.waiting: set[Callable[[], None]] = set()
@@ -107,8 +135,12 @@
             return None
         version, digest, before = serving
         # When it was looked at, by the machine's monotonic clock: what all processes of a machine share.
-        return b"%d %s %s %.3f" % (version, digest.hex()[:8].encode(), b"either" if before else b"one",
-                                   self.held_at - OFFSET_MS)
+        return b"%d %s %s %.3f" % (
+            version,
+            digest.hex()[:8].encode(),
+            b"either" if before else b"one",
+            self.held_at - OFFSET_MS,
+        )
 
     def admitted(self, request: Request) -> None:
         """Tell the boxes under which version a request is let in, where they are to be told."""
@@ -132,8 +164,9 @@
             self.loop.after(TICK_MS, self.tick)
             if not self.core.may_vote and self.take_lock():
                 kept = self.load()
-                self.core.take_over(now_ms(), kept.memory if kept is not None else None,
-                                    kept.documents if kept is not None else ())
+                self.core.take_over(
+                    now_ms(), kept.memory if kept is not None else None, kept.documents if kept is not None else ()
+                )
             self.handle(Tick())
 
     def heard(self, number: int, content: bytes) -> None:
@@ -168,8 +201,10 @@
         """Take a version, or two of which either may be in force, into service."""
         self.counts.add("accord", "served")
         self.apply(decode(action.document), decode(action.before) if action.before is not None else None)
-        self.log(f"policy: version {action.version} is served here"
-                 + (", by the stricter of it and the one before" if action.before is not None else ""))
+        self.log(
+            f"policy: version {action.version} is served here"
+            + (", by the stricter of it and the one before" if action.before is not None else "")
+        )
 
     def refused(self, content: bytes) -> str:
         """Say why a document cannot be served here."""
@@ -252,8 +287,11 @@
         now = now_ms()
         view = self.core.view(now)
         document = self.core.documents.held.get(self.core.known.digest) if self.core.certain else None
-        return {**view, "kind": "full" if self.core.kind == FULL else "either",
-                "document": msgspec.json.decode(document) if document is not None else None}
+        return {
+            **view,
+            "kind": "full" if self.core.kind == FULL else "either",
+            "document": msgspec.json.decode(document) if document is not None else None,
+        }
 
     def call(self, call: Policy, body: bytes) -> tuple[int, dict[str, Any]]:
         """Carry out an operator's call, and tell its status and what is known at once."""
@@ -281,6 +319,9 @@
         """Propose a document in place of a version."""
         self.handle(Propose(content, base))
         digest = digest_of(content).hex()
-        found = [change for change in self.core.view(now_ms())["changes"]
-                 if (change["digest"], change["version"]) == (digest, base + 1)]
+        found = [
+            change
+            for change in self.core.view(now_ms())["changes"]
+            if (change["digest"], change["version"]) == (digest, base + 1)
+        ]
         return (409 if found[-1]["state"] == "nowhere" else 200), found[-1]
--- a/petrelhall/gateway/counter.py
+++ b/petrelhall/gateway/counter.py
@@ -33,8 +33,9 @@
 class CounterClient:
     """Carries the module's calls; each gets one reply, whatever becomes of the line."""
 
-    def __init__(self, loop: Loop, address: Address, wait_ms: float, tell: Callable[[api.CounterReply], None],
-                 counts: Counts) -> None:
+    def __init__(
+        self, loop: Loop, address: Address, wait_ms: float, tell: Callable[[api.CounterReply], None], counts: Counts
+    ) -> None:
         self.loop, self.address, self.wait_ms, self.tell, self.counts = loop, address, wait_ms, tell, counts
         self.stream: Stream | None = None
         self.unsent: deque[Call] = deque()
--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -82,8 +82,18 @@
 class Front:
     """The listener and its clients."""
 
-    def __init__(self, loop: Loop, address: Address, wording: Wording, desk: Desk, ready: Callable[[], bool],
-                 counts: Counts, log: Callable[[str], None], most: int, room: Room) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        wording: Wording,
+        desk: Desk,
+        ready: Callable[[], bool],
+        counts: Counts,
+        log: Callable[[str], None],
+        most: int,
+        room: Room,
+    ) -> None:
         self.room = room  # for bodies and large answers
         self.loop, self.wording, self.desk, self.ready = loop, wording, desk, ready
         self.counts, self.log, self.most = counts, log, most
@@ -165,7 +175,7 @@
             free = [client for client in self.clients if not client.busy]
             free.sort(key=lambda c: (c.answered, c.http.begun, c.since))
             # Those that are being ended hold their descriptors for a moment more: that many fewer need to go.
-            free = free[:max(0, ROOM - self.ending)]
+            free = free[: max(0, ROOM - self.ending)]
             for client in free:
                 self.counts.add("connections", "made_room")
                 client.until = 0.0
@@ -410,8 +420,10 @@
 
         Whoever has begun a request is not idle: it ends with its answer.
         """
-        idle = sorted((client for client in self.clients if not client.busy and not client.http.begun),
-                      key=lambda client: client.since)
+        idle = sorted(
+            (client for client in self.clients if not client.busy and not client.http.begun),
+            key=lambda client: client.since,
+        )
         for client in idle[:ROOM]:
             client.until = 0.0
             client.stream.notify()
--- a/petrelhall/gateway/handover.py
+++ b/petrelhall/gateway/handover.py
@@ -35,7 +35,8 @@
         self.answered = 0  # pid of the process that a snapshot was left for
         place = os.path.join(tempfile.gettempdir(), f"petrelhall-{gateway}-")
         self.ready_path, self.joins_path, self.snapshot_path = (
-            f"{place}{name}.json" for name in ("ready", "joins", "snapshot"))
+            f"{place}{name}.json" for name in ("ready", "joins", "snapshot")
+        )
 
     # The new process
 
@@ -67,14 +68,23 @@
         while not os.path.exists(self.ready_path) and taken(address):
             if now_ms() >= until:
                 where = f"{address[0]}:{address[1]}"
-                raise OSError(errno.EADDRINUSE, f"listen: another process listens at {where}, and no mark in "
-                                                f"{self.ready_path} tells of an upgrade")
+                raise OSError(
+                    errno.EADDRINUSE,
+                    f"listen: another process listens at {where}, and no mark in "
+                    f"{self.ready_path} tells of an upgrade",
+                )
             time.sleep(STEP_S)
 
     # Both
 
-    def watch(self, loop: Loop, look_ms: float, ready: Callable[[], bool], leave: Callable[[], None],
-              snapshot: Callable[[], dict[str, Any]]) -> None:
+    def watch(
+        self,
+        loop: Loop,
+        look_ms: float,
+        ready: Callable[[], bool],
+        leave: Callable[[], None],
+        snapshot: Callable[[], dict[str, Any]],
+    ) -> None:
         """Begin to look for the other process's words."""
         self.loop, self.look_ms, self.ready, self.leave, self.snapshot = loop, look_ms, ready, leave, snapshot
         loop.after(look_ms, self.look)
--- a/petrelhall/gateway/membership.py
+++ b/petrelhall/gateway/membership.py
@@ -29,9 +29,20 @@
 class Membership:
     """One gateway's part in knowing the others; not there where the operators' file does not ask for it."""
 
-    def __init__(self, loop: Loop, peers: Peers, settings: Settings, platform: api.Settings, name: str, seed: int,
-                 fleet: Fleet, tell: Callable[[api.ServerList], None], ready: Callable[[], bool], counts: Counts,
-                 log: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        peers: Peers,
+        settings: Settings,
+        platform: api.Settings,
+        name: str,
+        seed: int,
+        fleet: Fleet,
+        tell: Callable[[api.ServerList], None],
+        ready: Callable[[], bool],
+        counts: Counts,
+        log: Callable[[str], None],
+    ) -> None:
         self.loop, self.peers, self.fleet, self.tell = loop, peers, fleet, tell
         self.ready, self.counts, self.log = ready, counts, log
         now = now_ms()
--- a/petrelhall/gateway/mgmt.py
+++ b/petrelhall/gateway/mgmt.py
@@ -31,8 +31,14 @@
 LINGER_MS = 400.0  # in which an answered caller may close: a close over what it still sends could eat its answer
 PAUSE_MS = 20.0  # in which no caller is taken where there is no descriptor
 LOOK_MS = 250.0  # between two looks at the file, for what the other process of an upgrade was told
-REASONS = {200: b"yes\n", 400: b"bad call\n", 404: b"no such server\n", 405: b"method not allowed\n",
-           408: b"call did not come whole\n", 503: b"not ready\n"}
+REASONS = {
+    200: b"yes\n",
+    400: b"bad call\n",
+    404: b"no such server\n",
+    405: b"method not allowed\n",
+    408: b"call did not come whole\n",
+    503: b"not ready\n",
+}
 
 
 class Caller:
@@ -48,9 +54,17 @@
 class Management:
     """The management listener and the servers that operators have taken out."""
 
-    def __init__(self, loop: Loop, address: Address, fleet: Fleet, ready: Callable[[], bool],
-                 tell: Callable[[api.ServerList], None], counts: Counts, log: Callable[[str], None],
-                 gateway: str) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        fleet: Fleet,
+        ready: Callable[[], bool],
+        tell: Callable[[api.ServerList], None],
+        counts: Counts,
+        log: Callable[[str], None],
+        gateway: str,
+    ) -> None:
         self.loop, self.fleet, self.ready, self.tell, self.counts, self.log = loop, fleet, ready, tell, counts, log
         self.callers: list[Caller] = []  # oldest first
         self.views: dict[str, Callable[[], Any]] = {}  # of the parts that are on, by name
@@ -198,4 +212,3 @@
             self.seen = state.st_ino, state.st_size, state.st_mtime_ns
         except OSError as error:  # it still holds in this process
             self.log(f"servers taken out: cannot write {self.path}: {os.strerror(error.errno or 0)}")
-
--- a/petrelhall/gateway/peers.py
+++ b/petrelhall/gateway/peers.py
@@ -20,8 +20,16 @@
 class Peers:
     """One socket for both ways: the others tell a sender by its address."""
 
-    def __init__(self, loop: Loop, own: Address, peers: tuple[Address, ...], everyone: Address, position: int,
-                 tell: Callable[[api.PeerMessage], None], counts: Counts) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        own: Address,
+        peers: tuple[Address, ...],
+        everyone: Address,
+        position: int,
+        tell: Callable[[api.PeerMessage], None],
+        counts: Counts,
+    ) -> None:
         self.numbers = {peer: number for number, peer in enumerate(peers) if number != position}
         self.peers, self.everyone, self.tell, self.counts = peers, everyone, tell, counts
         self.on_word: dict[int, Callable[[int, bytes], None]] = {}  # by first byte
--- a/petrelhall/gateway/platform.py
+++ b/petrelhall/gateway/platform.py
@@ -18,16 +18,24 @@
 METERING = {b"units": NUMBER, b"spread": WHOLE, b"first": WHOLE}
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 MOST_CUSTOMERS = 2**33
-ONCE = frozenset((  # headers that may come once only
-    b"host", b"x-request-id", b"x-class", b"x-contract", b"x-deadline", b"x-metering", b"x-retry",
-    b"idempotency-key", b"content-type",
-))
+ONCE = frozenset(
+    (  # headers that may come once only
+        b"host",
+        b"x-request-id",
+        b"x-class",
+        b"x-contract",
+        b"x-deadline",
+        b"x-metering",
+        b"x-retry",
+        b"idempotency-key",
+        b"content-type",
+    )
+)
 MOST_METERED = 512  # values kept
 PASSED_ON = (b"host", b"x-request-id", b"idempotency-key", b"content-type")
 EARLY_MS = 15.0  # a deadline counts from the client's send: the way here, the way back and our own turn
 # Names of load figures on the sockets, and in the settings.
-FIGURES = {"inflight": "rif", "queue": "q", "util": "busy", "latency_ms": "lat_ms", "qps": "rate",
-           "eps": "fail_rate"}
+FIGURES = {"inflight": "rif", "queue": "q", "util": "busy", "latency_ms": "lat_ms", "qps": "rate", "eps": "fail_rate"}
 REASONS = {400: b"bad request", 404: b"not found", 408: b"too slow", 413: b"body too large"}
 
 
@@ -81,9 +89,17 @@
             units, spread, first = self.metering(headers.get(b"x-metering", b""))
             left = min(deadline(headers.get(b"x-deadline", b"")), self.deadlines[index])
             return Request(
-                index, plan, customer(query), left, units, spread,
-                headers.get(b"x-retry") == b"1", Spoken(message, passed_on(message)),
-                headers[b"x-request-id"], safe, first,
+                index,
+                plan,
+                customer(query),
+                left,
+                units,
+                spread,
+                headers.get(b"x-retry") == b"1",
+                Spoken(message, passed_on(message)),
+                headers[b"x-request-id"],
+                safe,
+                first,
             )
         except Refusal as error:
             return Broken(400, str(error))
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -69,8 +69,9 @@
         own = OWN_SOCKETS + (CALLERS if config.mgmt else 0)
         room = max(20, min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - own)
         clients = int(CLIENT_SHARE * room)
-        plan = Plan(operator.links, room - clients, config.conn_idle_ms, settings.cold_ms, settings.gateways,
-                    config.seed)
+        plan = Plan(
+            operator.links, room - clients, config.conn_idle_ms, settings.cold_ms, settings.gateways, config.seed
+        )
         body_room = Room(config.memory_mb)
         self.pool = Pool(self.loop, self.fleet, platform, self.counts, plan, config.connect_timeout_ms, body_room)
         desk = Desk(self.loop, self.dispatcher.tell, self.pool, self.counts, settings.max_retry_after_ms)
@@ -89,14 +90,21 @@
         self.apply(operator.shared, None)
         self.start_list()
         self.take_over()
-        self.front = Front(self.loop, config.listen, platform, desk, self.healthy,
-                           self.counts, log, clients, body_room)
+        self.front = Front(self.loop, config.listen, platform, desk, self.healthy, self.counts, log, clients, body_room)
         self.front.on_empty = self.loop.stop
         self.serving = True
         self.mgmt: Management | None = None
         if config.mgmt is not None:
-            self.mgmt = Management(self.loop, config.mgmt, self.fleet, self.say_ready, self.dispatcher.tell,
-                                   self.counts, log.write, config.name)
+            self.mgmt = Management(
+                self.loop,
+                config.mgmt,
+                self.fleet,
+                self.say_ready,
+                self.dispatcher.tell,
+                self.counts,
+                log.write,
+                config.name,
+            )
             self.dispatcher.tell(self.fleet.relabel())  # servers that the operators took out before this start
             if self.membership is not None:
                 self.mgmt.views["members"] = self.membership.view
@@ -128,9 +136,14 @@
     def knows_others(self) -> bool:
         """Tell whether the platform lets all gateways speak with each other."""
         config = self.config
-        return bool(config.settings.peers and config.settings.gateways > 1
-                    and config.peer_listen and config.peers_all and config.settings.peer_messages_per_s > 0
-                    and len(config.peers) == config.settings.gateways)
+        return bool(
+            config.settings.peers
+            and config.settings.gateways > 1
+            and config.peer_listen
+            and config.peers_all
+            and config.settings.peer_messages_per_s > 0
+            and len(config.peers) == config.settings.gateways
+        )
 
     def module_settings(self) -> api.Settings:
         """Give the settings as the module gets them: messages that other parts take are not the module's."""
@@ -147,25 +160,63 @@
         """Open the ways to the other gateways that the configuration names."""
         config, tell = self.config, self.dispatcher.tell
         if config.settings.peers and config.peer_listen and config.peers_all:
-            self.peers = Peers(self.loop, config.peer_listen, config.peers, config.peers_all,
-                          config.settings.position, tell, self.counts)
+            self.peers = Peers(
+                self.loop,
+                config.peer_listen,
+                config.peers,
+                config.peers_all,
+                config.settings.position,
+                tell,
+                self.counts,
+            )
             self.dispatcher.to_peers = self.peers.send
             if self.operator.members.on and self.knows_others():
                 from petrelhall.gateway.membership import Membership
-                self.membership = Membership(self.loop, self.peers, self.operator.members, config.settings,
-                                             config.name, config.seed, self.fleet, tell, self.ready, self.counts,
-                                             self.log.write)
+
+                self.membership = Membership(
+                    self.loop,
+                    self.peers,
+                    self.operator.members,
+                    config.settings,
+                    config.name,
+                    config.seed,
+                    self.fleet,
+                    tell,
+                    self.ready,
+                    self.counts,
+                    self.log.write,
+                )
                 self.desk.witness = self.membership.saw
             if self.operator.accord.on and self.knows_others():
                 from petrelhall.gateway.agreement import Agreement
-                self.agreement = Agreement(self.loop, self.peers, self.operator.accord, config.settings, config.name,
-                                           config.seed, self.operator.shared, self.unfit, self.apply, self.counts,
-                                           self.log.write)
+
+                self.agreement = Agreement(
+                    self.loop,
+                    self.peers,
+                    self.operator.accord,
+                    config.settings,
+                    config.name,
+                    config.seed,
+                    self.operator.shared,
+                    self.unfit,
+                    self.apply,
+                    self.counts,
+                    self.log.write,
+                )
                 self.desk.agreed = self.agreement
         if self.operator.quota.on:
             from petrelhall.gateway.sharing import Sharing
-            self.sharing = Sharing(self.loop, self.peers, self.operator.quota, config.settings, config.seed,
-                                   self.ready, self.counts, config.counter if config.settings.counter else None)
+
+            self.sharing = Sharing(
+                self.loop,
+                self.peers,
+                self.operator.quota,
+                config.settings,
+                config.seed,
+                self.ready,
+                self.counts,
+                config.counter if config.settings.counter else None,
+            )
             self.module.owner = self.sharing
             if self.membership is not None:
                 self.sharing.ledger.reachable = self.membership.reachable
@@ -199,8 +250,17 @@
             if settings is None:
                 return
             from petrelhall.gateway.shifting import Shifter
-            self.shifter = Shifter(self.loop, self.fleet, self.pool.plan, self.dispatcher.tell, self.counts, self.log,
-                                   self.config.classes, self.config.plans)
+
+            self.shifter = Shifter(
+                self.loop,
+                self.fleet,
+                self.pool.plan,
+                self.dispatcher.tell,
+                self.counts,
+                self.log,
+                self.config.classes,
+                self.config.plans,
+            )
             if self.peers is not None:
                 self.shifter.to_peers, self.peers.on_word[SHIFT[0]] = self.peers.send, self.shifter.heard
         self.shifter.configure(settings)
@@ -220,8 +280,7 @@
                 self.dispatcher.tell(self.fleet.take(self.config.known, "cached"))
         except (ValueError, TypeError) as error:
             raise ConfigError(f"config.known: {error}") from error
-        self.watch = Watch(self.loop, self.config.discovery, self.fleet, self.dispatcher.tell, self.counts,
-                           self.log)
+        self.watch = Watch(self.loop, self.config.discovery, self.fleet, self.dispatcher.tell, self.counts, self.log)
 
     def reload(self) -> None:
         """Read both files anew, all or nothing: move to where discovery and the counter are, take settings."""
@@ -306,14 +365,21 @@
         self.module.latency = dict(zip(self.config.settings.classes, latency, strict=True))
         self.module.faults = faults
         replan(self.module, self.config.settings.plans, self.module.settings.plans, now_ms())
-        self.log.write(f"taken over from the process before this one: {len(self.module.customers)} customers, "
-                       f"{len(data['links'])} servers")
+        self.log.write(
+            f"taken over from the process before this one: {len(self.module.customers)} customers, "
+            f"{len(data['links'])} servers"
+        )
 
     def snapshot(self) -> dict[str, Any]:
         """Give what the next process of this gateway can use."""
         classes = self.config.settings.classes
-        return snapshot.take(self.module, self.config.settings, [self.module.latency[kind] for kind in classes],
-                             self.module.faults, self.module.settings.plans)
+        return snapshot.take(
+            self.module,
+            self.config.settings,
+            [self.module.latency[kind] for kind in classes],
+            self.module.faults,
+            self.module.settings.plans,
+        )
 
     def hand_over(self) -> None:
         """A newer process of this gateway is ready: what is new is its; this one ends with its last client."""
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -82,8 +82,15 @@
 class Servers(Protocol):
     """Where attempts are made."""
 
-    def attempt(self, server: str, message: Any, until: float, stopped: Callable[[], bool],
-                free: bool = True, write_by: float = math.inf) -> Steps[Result]:
+    def attempt(
+        self,
+        server: str,
+        message: Any,
+        until: float,
+        stopped: Callable[[], bool],
+        free: bool = True,
+        write_by: float = math.inf,
+    ) -> Steps[Result]:
         """Make one attempt, not written after ``write_by``; ``free`` tells that a second run costs nothing."""
 
 
@@ -144,8 +151,9 @@
 class Desk:
     """Where requests meet the module and the servers."""
 
-    def __init__(self, loop: Loop, tell: Callable[[api.Event], None], servers: Servers, counts: Counts,
-                 retry_after_ms: float) -> None:
+    def __init__(
+        self, loop: Loop, tell: Callable[[api.Event], None], servers: Servers, counts: Counts, retry_after_ms: float
+    ) -> None:
         self.loop, self.tell, self.servers, self.counts = loop, tell, servers, counts
         self.retry_after_ms = retry_after_ms
         self.agreed: Agreed | None = None  # none: the policy is this gateway's own
@@ -200,10 +208,20 @@
                 return None if caller.gone else self.unsure()
             request = dataclasses.replace(request, left_ms=max(1.0, until - now_ms()))
         pools = self.sides.pools(request) if self.sides is not None else ()
-        self.tell(api.Arrival(
-            ticket.id, request.request_class, request.plan, request.customer, request.left_ms, request.units,
-            request.set_size, request.repeat, pools, request.set_first,
-        ))
+        self.tell(
+            api.Arrival(
+                ticket.id,
+                request.request_class,
+                request.plan,
+                request.customer,
+                request.left_ms,
+                request.units,
+                request.set_size,
+                request.repeat,
+                pools,
+                request.set_first,
+            )
+        )
         try:
             while True:
                 while not ticket.orders and not caller.gone and now_ms() < min(until + OVERDUE_MS, self.end_by):
@@ -235,9 +253,13 @@
                 started = now_ms()
                 last = min(until, started + order.timeout_ms) if order.timeout_ms else until
                 result = yield from self.servers.attempt(
-                    order.server, request.message, last,
+                    order.server,
+                    request.message,
+                    last,
                     lambda: caller.gone or bool(ticket.orders) or now_ms() >= self.end_by,
-                    request.free, order.write_by)
+                    request.free,
+                    order.write_by,
+                )
                 self.counts.add("sent", result.ending.value)
                 if self.witness is not None:
                     self.witness(order.server, result.ending)
@@ -247,10 +269,19 @@
                     self.tell(api.ClientGone(ticket.id))
                 served = result.ending is Ending.OK
                 started = max(started, result.asked_at)  # a client's slow body is no slowness of the box
-                self.tell(api.Outcome(
-                    ticket.id, attempts, order.server, result.ending, now_ms() - started,
-                    served or gone or over, result.used, None, dict(result.report),
-                ))
+                self.tell(
+                    api.Outcome(
+                        ticket.id,
+                        attempts,
+                        order.server,
+                        result.ending,
+                        now_ms() - started,
+                        served or gone or over,
+                        result.used,
+                        None,
+                        dict(result.report),
+                    )
+                )
                 if self.sides is not None and not attempts:  # later ones are of requests that went badly
                     self.sides.ended(request, pools, order.server, result, now_ms() - started)
                 attempts += 1
--- a/petrelhall/gateway/sharing.py
+++ b/petrelhall/gateway/sharing.py
@@ -36,8 +36,10 @@
 
     def available(self, now: float) -> tuple[float, float]:
         """Give the units of the quota and of the ceiling that may be spent now."""
-        return (self.quota.share.available(now) if self.quota is not None else NONE,
-                self.ceiling.share.available(now) if self.ceiling is not None else NONE)
+        return (
+            self.quota.share.available(now) if self.quota is not None else NONE,
+            self.ceiling.share.available(now) if self.ceiling is not None else NONE,
+        )
 
     def want(self, now: float, units: float) -> None:
         """Hear that units are asked for."""
@@ -59,8 +61,17 @@
 class Sharing:
     """One gateway's shares; not there where the operators' file does not ask for them."""
 
-    def __init__(self, loop: Loop, peers: Peers | None, settings: Settings, platform: api.Settings, seed: int,
-                 ready: Callable[[], bool], counts: Counts, counter: Address | None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        peers: Peers | None,
+        settings: Settings,
+        platform: api.Settings,
+        seed: int,
+        ready: Callable[[], bool],
+        counts: Counts,
+        counter: Address | None,
+    ) -> None:
         self.loop, self.peers, self.platform, self.ready, self.counts = loop, peers, platform, ready, counts
         now = now_ms()
         # As much comes in as goes out: every word of one gateway is taken in by one other.
@@ -150,6 +161,11 @@
     def view(self) -> dict[str, Any]:
         """Give the state for operators, for ``GET /control/quota``; units since the start."""
         held = self.exchange
-        return {"accounts": len(self.ledger.accounts), "lent": self.ledger.lent, "borrowed": self.ledger.borrowed,
-                "put": held.put if held else 0.0, "taken": held.taken if held else 0.0,
-                "counter_calls": held.calls if held else 0}
+        return {
+            "accounts": len(self.ledger.accounts),
+            "lent": self.ledger.lent,
+            "borrowed": self.ledger.borrowed,
+            "put": held.put if held else 0.0,
+            "taken": held.taken if held else 0.0,
+            "counter_calls": held.calls if held else 0,
+        }
--- a/petrelhall/gateway/shifting.py
+++ b/petrelhall/gateway/shifting.py
@@ -33,8 +33,17 @@
 class Shifter:
     """One gateway's part in the operators' move; does nothing where they have set none."""
 
-    def __init__(self, loop: Loop, fleet: Fleet, plan: Plan, tell: Callable[[api.Event], None], counts: Counts,
-                 log: Callable[[str], None], classes: tuple[str, ...], plans: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        fleet: Fleet,
+        plan: Plan,
+        tell: Callable[[api.Event], None],
+        counts: Counts,
+        log: Callable[[str], None],
+        classes: tuple[str, ...],
+        plans: tuple[str, ...],
+    ) -> None:
         self.loop, self.fleet, self.plan, self.tell, self.counts, self.log = loop, fleet, plan, tell, counts, log
         self.classes, self.plans = classes, plans
         self.settings: Shift | None = None
@@ -62,7 +71,10 @@
         if move is None:
             self.mover = None
         elif before is not None and (before.move.name, before.move.source, before.move.target) == (
-                move.name, move.source, move.target):
+            move.name,
+            move.source,
+            move.target,
+        ):
             before.told(move)
         else:
             self.mover = Mover(move, max(1, len(self.classes)))
@@ -93,8 +105,14 @@
         mover = self.mover
         if mover is None:
             return ()
-        return side(mover.move, mover.wanted, request.customer, request.name.decode("latin-1"),
-                    self.classes[request.request_class], self.plans[request.plan]).pools
+        return side(
+            mover.move,
+            mover.wanted,
+            request.customer,
+            request.name.decode("latin-1"),
+            self.classes[request.request_class],
+            self.plans[request.plan],
+        ).pools
 
     def ended(self, request: Request, pools: tuple[str, ...], server: str, result: Result, took_ms: float) -> None:
         """Take in how a first attempt ended. What spilt, or met a cold box, compares with nothing."""
@@ -120,9 +138,19 @@
         answer = Answer(kind, took_ms, error, result.ending is Ending.TIMEOUT, request.customer)
         mover.answer(now, answer, pool == move.target)
         if self.record is not None:
-            self.record.append(ujson.dumps({"at_ms": now, "target": pool == move.target, "kind": kind,
-                                            "latency_ms": took_ms, "error": error, "censored": answer.censored,
-                                            "district": request.customer}))
+            self.record.append(
+                ujson.dumps(
+                    {
+                        "at_ms": now,
+                        "target": pool == move.target,
+                        "kind": kind,
+                        "latency_ms": took_ms,
+                        "error": error,
+                        "censored": answer.censored,
+                        "district": request.customer,
+                    }
+                )
+            )
 
     # Time
 
@@ -144,8 +172,16 @@
             self.note(mover, turn)
         if self.to_peers is not None and (turns or now - self.spoken >= WORD_MS):
             self.spoken = now
-            self.to_peers(WORD.pack(SHIFT, digest(mover), STATES.index(mover.state), mover.step,
-                                    clip(mover.judge.all.slower.log), clip(mover.judge.all.errs.log)))
+            self.to_peers(
+                WORD.pack(
+                    SHIFT,
+                    digest(mover),
+                    STATES.index(mover.state),
+                    mover.step,
+                    clip(mover.judge.all.slower.log),
+                    clip(mover.judge.all.errs.log),
+                )
+            )
 
     def write_record(self, mover: Mover) -> None:
         """Append what was judged to the operators' file, where they want that."""
@@ -164,8 +200,17 @@
     def note(self, mover: Mover, turn: Turn) -> None:
         """Log one change as one line of JSON."""
         self.counts.add("shift", f"turns_{turn.state.value}")
-        self.log("shift " + ujson.dumps({"move": mover.move.name, "state": turn.state.value,
-                                         "share": round(turn.share, 4), "reason": turn.reason}))
+        self.log(
+            "shift "
+            + ujson.dumps(
+                {
+                    "move": mover.move.name,
+                    "state": turn.state.value,
+                    "share": round(turn.share, 4),
+                    "reason": turn.reason,
+                }
+            )
+        )
 
     def heard(self, number: int, content: bytes) -> None:
         """Take in what another gateway says; junk and other moves are passed over."""
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -132,8 +132,9 @@
 
     __slots__ = ("stream", "http", "asked", "headers", "body", "room", "vet", "held", "come")
 
-    def __init__(self, stream: Stream, room: Room | None = None,
-                 vet: Callable[[Message], object] = lambda message: None) -> None:
+    def __init__(
+        self, stream: Stream, room: Room | None = None, vet: Callable[[Message], object] = lambda message: None
+    ) -> None:
         self.stream, self.http, self.room = stream, h11.Connection(h11.SERVER), room
         self.vet = vet  # reads a head before its large body is waited for: a Broken is answered at once
         self.asked: h11.Request | None = None
@@ -213,8 +214,7 @@
         asked = self.asked
         assert asked is not None
         twice = len(self.headers) < len(asked.headers)
-        return Message(asked.method, asked.target, self.headers, body,
-                       repeated(asked) if twice else frozenset(), rest)
+        return Message(asked.method, asked.target, self.headers, body, repeated(asked) if twice else frozenset(), rest)
 
     def more_body(self) -> tuple[bytes, bool] | Broken:
         """Give what more has come of a body that is passed on, and whether it is all."""
@@ -267,8 +267,10 @@
 
     def begin(self, status: int, headers: Headers, length: int | None, last: bool) -> None:
         """Write the head of an answer whose body follows in pieces: with its length, or in chunks."""
-        fields = [*headers, (b"Content-Length", b"%d" % length) if length is not None
-                  else (b"Transfer-Encoding", b"chunked")]
+        fields = [
+            *headers,
+            (b"Content-Length", b"%d" % length) if length is not None else (b"Transfer-Encoding", b"chunked"),
+        ]
         if last:
             fields.append((b"Connection", b"close"))
         self.stream.write(self.http.send(h11.Response(status_code=status, headers=fields)) or b"")
--- a/petrelhall/links/limits.py
+++ b/petrelhall/links/limits.py
@@ -149,6 +149,12 @@
         least = 0.1 * self.weight(now)
         dead = [number for number in range(FIRST_KNOWN, CLASSES) if self.dead[number] > least]
         high = lower_edge(dead[0] + 1) if dead and dead[0] + 1 < CLASSES else NEVER
-        low = max((lower_edge(number) for number in range(CLASSES)
-                   if self.alive[number] > least and lower_edge(number) < high), default=0.0)
+        low = max(
+            (
+                lower_edge(number)
+                for number in range(CLASSES)
+                if self.alive[number] > least and lower_edge(number) < high
+            ),
+            default=0.0,
+        )
         return low, high
--- a/petrelhall/links/plan.py
+++ b/petrelhall/links/plan.py
@@ -79,8 +79,19 @@
 class Link:
     """One connection to a box."""
 
-    __slots__ = ("box", "state", "opened", "idle_since", "idle_ms", "uses", "ahead", "until", "last_use", "tried",
-                 "carrier")
+    __slots__ = (
+        "box",
+        "state",
+        "opened",
+        "idle_since",
+        "idle_ms",
+        "uses",
+        "ahead",
+        "until",
+        "last_use",
+        "tried",
+        "carrier",
+    )
 
     def __init__(self, box: Box, now: float, ahead: bool) -> None:
         self.box, self.state, self.opened, self.ahead = box, State.OPENING, now, ahead
@@ -95,11 +106,46 @@
 class Box:
     """What is known of one box's connections."""
 
-    __slots__ = ("id", "address", "listed", "started", "since", "life", "idle", "busy", "opening", "bound", "grown",
-                 "tokens", "tokens_at", "answered", "refusals", "refused", "dead_at", "peak", "last_peak", "missed",
-                 "wasted", "ahead_from", "warm_at", "looked", "kept_ms", "sure_ms", "hint_ms", "deaths", "hold_ms",
-                 "doubt", "trying", "most", "opens", "stale", "ends", "ends_at",
-                 "survived", "rests")
+    __slots__ = (
+        "id",
+        "address",
+        "listed",
+        "started",
+        "since",
+        "life",
+        "idle",
+        "busy",
+        "opening",
+        "bound",
+        "grown",
+        "tokens",
+        "tokens_at",
+        "answered",
+        "refusals",
+        "refused",
+        "dead_at",
+        "peak",
+        "last_peak",
+        "missed",
+        "wasted",
+        "ahead_from",
+        "warm_at",
+        "looked",
+        "kept_ms",
+        "sure_ms",
+        "hint_ms",
+        "deaths",
+        "hold_ms",
+        "doubt",
+        "trying",
+        "most",
+        "opens",
+        "stale",
+        "ends",
+        "ends_at",
+        "survived",
+        "rests",
+    )
 
     def __init__(self, name: str, address: object, bound: float, life: Survival) -> None:
         self.id, self.address, self.listed, self.life = name, address, True, life
@@ -129,8 +175,9 @@
 class Plan:
     """The connections of one gateway. ``closing`` holds what is to be closed, with the cause, until it is taken."""
 
-    def __init__(self, settings: Links, room: int, idle_ms: float, cold_ms: float = 0.0, gateways: int = 1,
-                 seed: int = 0) -> None:
+    def __init__(
+        self, settings: Links, room: int, idle_ms: float, cold_ms: float = 0.0, gateways: int = 1, seed: int = 0
+    ) -> None:
         self.room, self.platform_idle_ms, self.platform_cold_ms = room, idle_ms, cold_ms
         self.gateways, self.seed = max(1, gateways), seed
         self.random = random.Random(seed)
@@ -265,8 +312,13 @@
             # left to die it would only have to be opened anew.
             oldest = box.idle[0]
             age = now - oldest.idle_since
-            if (age > REFRESH * kept and age < sure and box.open <= max(box.peak, box.last_peak)
-                    and now < oldest.until and oldest.idle_since >= box.doubt):
+            if (
+                age > REFRESH * kept
+                and age < sure
+                and box.open <= max(box.peak, box.last_peak)
+                and now < oldest.until
+                and oldest.idle_since >= box.doubt
+            ):
                 return oldest
             candidates: Iterable[Link] = reversed(box.idle)
         elif order == "oldest":
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -55,8 +55,16 @@
 class Pool:
     """Makes attempts at boxes, on the connections that the plan gives."""
 
-    def __init__(self, loop: Loop, fleet: Listing, wording: Wording, counts: Counts, plan: Plan,
-                 connect_ms: float, room: Room | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        fleet: Listing,
+        wording: Wording,
+        counts: Counts,
+        plan: Plan,
+        connect_ms: float,
+        room: Room | None = None,
+    ) -> None:
         self.room = room or Room(0.0)  # for bodies that are passed on
         self.loop, self.fleet, self.wording, self.counts, self.plan = loop, fleet, wording, counts, plan
         self.connect_ms = connect_ms
@@ -72,8 +80,15 @@
 
     # Attempts
 
-    def attempt(self, server: str, message: Any, until: float, stopped: Callable[[], bool],
-                free: bool = True, write_by: float = NEVER) -> Steps[Result]:
+    def attempt(
+        self,
+        server: str,
+        message: Any,
+        until: float,
+        stopped: Callable[[], bool],
+        free: bool = True,
+        write_by: float = NEVER,
+    ) -> Steps[Result]:
         """Make one attempt that ends by its time; it is over on the wire when this gives its result.
 
         ``free`` tells that the request may run twice without harm; ``write_by`` is the last moment (Unix ms) at
@@ -228,8 +243,9 @@
         connection.http.stream.close()
         return None
 
-    def obtain(self, server: str, until: float, stopped: Callable[[], bool], free: bool,
-               link: Link | Wait | No) -> Steps[Connection | Result]:
+    def obtain(
+        self, server: str, until: float, stopped: Callable[[], bool], free: bool, link: Link | Wait | No
+    ) -> Steps[Connection | Result]:
         """Get a connection, one that comes up included, within the time that waiting for one is worth.
 
         ``link`` is what the plan has just said.
@@ -289,8 +305,9 @@
         self.wake_one(link.box.id)
         return Result(Ending.CONNECT_FAILED if dead else Ending.MOOT, Reach.UNWRITTEN, reason)
 
-    def connected(self, connection: Connection, until: float, timers: list[Timer],
-                  stopped: Callable[[], bool]) -> Steps[Result | None]:
+    def connected(
+        self, connection: Connection, until: float, timers: list[Timer], stopped: Callable[[], bool]
+    ) -> Steps[Result | None]:
         """Wait for a new connection to come up; nothing is written before it has."""
         stream, link = connection.http.stream, connection.link
         latest = now_ms() + self.connect_ms
@@ -318,8 +335,9 @@
             reach = Reach.UNWRITTEN if stream.outgoing else Reach.WRITTEN
             if isinstance(reply, Flowing):  # the rest is passed on by whoever takes the answer
                 verdict = self.wording.verdict(Reply(reply.status, reply.headers, b""))
-                return Result(verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply, verdict.report,
-                              verdict.used)
+                return Result(
+                    verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply, verdict.report, verdict.used
+                )
             if isinstance(reply, Reply):
                 self.plan.answered(now_ms(), link)
                 if b"keep-alive" in reply.headers:
@@ -327,8 +345,9 @@
                     if told is not None:
                         self.plan.told(link, float(told[1]))
                 verdict = self.wording.verdict(reply)
-                return Result(verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply,
-                              verdict.report, verdict.used)
+                return Result(
+                    verdict.ending, Reach.ANSWERED, f"status {reply.status}", reply, verdict.report, verdict.used
+                )
             if isinstance(reply, Broken) and reach and not stream.ended:
                 # A spoilt answer comes from a box that lives: an error of one request. Told as a reset it
                 # would count as the box's death, and the module would leave it alone and treat it as cold.
--- a/petrelhall/members/boxes.py
+++ b/petrelhall/members/boxes.py
@@ -85,8 +85,9 @@
                 rows.append((-bad, box))
         return tuple(box for _, box in sorted(rows))
 
-    def pool(self, now: float, listed: Iterable[str], said: Mapping[int, Iterable[int]], own: Iterable[str],
-             witnesses: int) -> frozenset[str]:
+    def pool(
+        self, now: float, listed: Iterable[str], said: Mapping[int, Iterable[int]], own: Iterable[str], witnesses: int
+    ) -> frozenset[str]:
         """Give the boxes to be left out. ``said``: by each trustworthy member, the codes it accuses."""
         boxes = list(listed)
         counted: dict[int, int] = {}
@@ -94,13 +95,15 @@
             for each in set(codes):
                 counted[each] = counted.get(each, 0) + 1
         present = set(boxes)
-        self.holds = {box: hold for box, hold in self.holds.items()
-                      if box in present and now < hold.until + RELAPSE * hold.length}
+        self.holds = {
+            box: hold for box, hold in self.holds.items() if box in present and now < hold.until + RELAPSE * hold.length
+        }
         out = {box for box, hold in self.holds.items() if now < hold.until}
         room = int(self.share * len(boxes)) - len(out)
-        accused = sorted((-counted[code(box)], box) for box in boxes
-                         if box not in out and counted.get(code(box), 0) >= witnesses)
-        for _, box in accused[:max(0, room)]:
+        accused = sorted(
+            (-counted[code(box)], box) for box in boxes if box not in out and counted.get(code(box), 0) >= witnesses
+        )
+        for _, box in accused[: max(0, room)]:
             before = self.holds.get(box)
             length = min(HOLD_MOST_MS, 2.0 * before.length) if before is not None else HOLD_MS
             self.holds[box] = Hold(now + length, length)
--- a/petrelhall/members/core.py
+++ b/petrelhall/members/core.py
@@ -216,8 +216,9 @@
             elif able and silence >= self.pace.fail_ms:
                 witnesses = self.observers(now, number)
                 if witnesses >= self.pace.observers:
-                    self.put(now, number, "failed",
-                             f"silent for {silence:.0f} ms, missed by {witnesses} of {len(self.side)}")
+                    self.put(
+                        now, number, "failed", f"silent for {silence:.0f} ms, missed by {witnesses} of {len(self.side)}"
+                    )
         self.misses = missed
 
     def may_fail(self, now: float) -> bool:
@@ -333,8 +334,11 @@
                 continue
             silence = now - member.fresh
             # A low byte that is behind looks far ahead: no counter steps faster than time goes by.
-            if (ahead <= (silence + self.pace.found_ms) / self.pace.step_ms + AHEAD
-                    and member.state in ("here", "doubt") and silence < self.pace.fail_ms):
+            if (
+                ahead <= (silence + self.pace.found_ms) / self.pace.step_ms + AHEAD
+                and member.state in ("here", "doubt")
+                and silence < self.pace.fail_ms
+            ):
                 member.counter += ahead
                 member.fresh = now
                 own[2 * number + 1] = member.counter & 255
@@ -382,8 +386,9 @@
             member = self.members.get(number, self)
             if self.trusted(now, member):
                 state = "here" if isinstance(member, Members) else member.state
-                self.actions.append(Changed(number, state, member.life,
-                                            f"not trusted: the address of {sender} claims number {claimed}"))
+                self.actions.append(
+                    Changed(number, state, member.life, f"not trusted: the address of {sender} claims number {claimed}")
+                )
             member.clashed = now
 
     def drop(self, why: str) -> None:
@@ -397,7 +402,7 @@
         """
         member = self.members.get(number, self)
         stale = isinstance(member, Member) and member.state != "here"
-        self.table[2 * number:2 * number + 2] = bytes((member.life & 255 ^ 255 * stale, member.counter & 255))
+        self.table[2 * number : 2 * number + 2] = bytes((member.life & 255 ^ 255 * stale, member.counter & 255))
 
     # Speaking
 
@@ -442,7 +447,7 @@
             self.segment = self.segment if self.segment < of else 0
         mask = (1 << words.SEGMENT) - 1
         hears, misses = self.hears >> segment & mask, self.misses >> segment & mask
-        bad = self.bad[:words.BAD_MOST]
+        bad = self.bad[: words.BAD_MOST]
         free = words.room(of) - 4 * len(bad)
         # Who was away knows of nobody how far he is by now: what waited for it meanwhile is not news.
         # Who has just started knows nobody's life, and can take nothing else in.
@@ -450,12 +455,31 @@
         held = 0 if self.old(now) or young else min(of, (free - words.OTHERS) // 2)
         start = self.random.randrange(of) if held < of else 0
         row, over = bytes(self.table), 2 * (start + held)
-        table = row[2 * start:over] + (row[:over - len(row)] if over > len(row) else b"")
+        table = row[2 * start : over] + (row[: over - len(row)] if over > len(row) else b"")
         flags = words.LEAVING * self.leaving + words.OLD * self.old(now)
         lives = self.lives((free - len(table)) // words.LIFE.size, young)
-        self.actions.append(Send(to, words.encode(Word(
-            self.number, self.life, self.seq, self.counter, of, flags, segment, hears, misses, start, table,
-            lives, bad))))
+        self.actions.append(
+            Send(
+                to,
+                words.encode(
+                    Word(
+                        self.number,
+                        self.life,
+                        self.seq,
+                        self.counter,
+                        of,
+                        flags,
+                        segment,
+                        hears,
+                        misses,
+                        start,
+                        table,
+                        lives,
+                        bad,
+                    )
+                ),
+            )
+        )
 
     def lives(self, most: int, young: bool) -> tuple[tuple[int, int, int, int], ...]:
         """Give lives to tell of: news first, then some in turn; to one that is ``young`` all that there is room for."""
@@ -491,8 +515,11 @@
         """Give what members of this side said of boxes lately and at first hand; none that was away."""
         if self.old(now):
             return {}
-        return {number: said for number, (at, said) in self.accused.items()
-                if said and number in self.side and now - at <= self.pace.hear_ms and not self.members[number].old}
+        return {
+            number: said
+            for number, (at, said) in self.accused.items()
+            if said and number in self.side and now - at <= self.pace.hear_ms and not self.members[number].old
+        }
 
     def digest(self) -> str:
         """Give one text for who is there and in which life: equal where two views are."""
@@ -507,27 +534,55 @@
         rows = []
         for number in range(self.pace.members):
             if number == self.number:
-                rows.append({"name": names.get(number, str(number)), "number": number, "life": self.life,
-                             "state": "left" if self.leaving else "here", "since_ms": round(self.started),
-                             "hears": own, "trusted": self.trusted(now, self),
-                             "heard_by": [other for other, member in self.members.items() if member.hears & bit]})
+                rows.append(
+                    {
+                        "name": names.get(number, str(number)),
+                        "number": number,
+                        "life": self.life,
+                        "state": "left" if self.leaving else "here",
+                        "since_ms": round(self.started),
+                        "hears": own,
+                        "trusted": self.trusted(now, self),
+                        "heard_by": [other for other, member in self.members.items() if member.hears & bit],
+                    }
+                )
                 continue
             member = self.members[number]
             heard_by = [other for other, third in self.members.items() if third.hears >> number & 1]
-            rows.append({
-                "name": names.get(number, str(number)), "number": number, "state": member.state, "life": member.life,
-                "since_ms": round(member.since), "trusted": self.trusted(now, member),
-                "hears": [other for other in range(self.pace.members) if member.hears >> other & 1],
-                "heard_by": sorted([*heard_by, self.number] if number in own else heard_by),
-            })
+            rows.append(
+                {
+                    "name": names.get(number, str(number)),
+                    "number": number,
+                    "state": member.state,
+                    "life": member.life,
+                    "since_ms": round(member.since),
+                    "trusted": self.trusted(now, member),
+                    "hears": [other for other in range(self.pace.members) if member.hears >> other & 1],
+                    "heard_by": sorted([*heard_by, self.number] if number in own else heard_by),
+                }
+            )
         return {
-            "self": self.number, "life": self.life, "view": "old" if self.old(now) else "fresh",
-            "away_ms": round(self.away_ms), "stalls": self.stalls,
-            "words": self.seq, "up_ms": round(now - self.started) + 1,
-            "side": {"heard": len(self.side), "of": self.pace.members, "majority": self.majority(now),
-                     "since_ms": round(self.since), "members": sorted(self.side)},
-            "members": rows, "digest": self.digest(),
-            "pace": {"doubt_ms": round(self.pace.doubt_ms), "fail_ms": round(self.pace.fail_ms),
-                     "found_ms": round(self.pace.found_ms), "hear_ms": round(self.pace.hear_ms),
-                     "words_per_s": round(1000.0 / self.pace.word_ms, 2)},
+            "self": self.number,
+            "life": self.life,
+            "view": "old" if self.old(now) else "fresh",
+            "away_ms": round(self.away_ms),
+            "stalls": self.stalls,
+            "words": self.seq,
+            "up_ms": round(now - self.started) + 1,
+            "side": {
+                "heard": len(self.side),
+                "of": self.pace.members,
+                "majority": self.majority(now),
+                "since_ms": round(self.since),
+                "members": sorted(self.side),
+            },
+            "members": rows,
+            "digest": self.digest(),
+            "pace": {
+                "doubt_ms": round(self.pace.doubt_ms),
+                "fail_ms": round(self.pace.fail_ms),
+                "found_ms": round(self.pace.found_ms),
+                "hear_ms": round(self.pace.hear_ms),
+                "words_per_s": round(1000.0 / self.pace.word_ms, 2),
+            },
         }
--- a/petrelhall/members/plan.py
+++ b/petrelhall/members/plan.py
@@ -67,5 +67,13 @@
     step_ms = STEPS * entry_ms
     spread_ms = math.log(max(2, members)) * (entry_ms + late_ms / 2.0)
     doubt_ms = MISSED * step_ms + spread_ms + late_ms / 2.0
-    return Pace(members, word_ms, step_ms, spread_ms, doubt_ms, 2.0 * doubt_ms,
-                max(doubt_ms, WORDS * (members - 1) * word_ms), 3 if members >= 5 else 2)
+    return Pace(
+        members,
+        word_ms,
+        step_ms,
+        spread_ms,
+        doubt_ms,
+        2.0 * doubt_ms,
+        max(doubt_ms, WORDS * (members - 1) * word_ms),
+        3 if members >= 5 else 2,
+    )
--- a/petrelhall/members/words.py
+++ b/petrelhall/members/words.py
@@ -67,13 +67,19 @@
 def encode(word: Word) -> bytes:
     """Write a word."""
     size = wide(word.of)
-    body = b"".join((
-        HEAD.pack(KIND, VERSION, word.number, word.life, word.seq, word.counter, word.of, word.flags, word.segment),
-        word.hears.to_bytes(size, "little"), word.misses.to_bytes(size, "little"),
-        TABLE.pack(word.start, len(word.table) // 2), word.table,
-        bytes([len(word.lives)]), *(LIFE.pack(*entry) for entry in word.lives),
-        bytes([len(word.bad)]), *(CODE.pack(code) for code in word.bad),
-    ))
+    body = b"".join(
+        (
+            HEAD.pack(KIND, VERSION, word.number, word.life, word.seq, word.counter, word.of, word.flags, word.segment),
+            word.hears.to_bytes(size, "little"),
+            word.misses.to_bytes(size, "little"),
+            TABLE.pack(word.start, len(word.table) // 2),
+            word.table,
+            bytes([len(word.lives)]),
+            *(LIFE.pack(*entry) for entry in word.lives),
+            bytes([len(word.bad)]),
+            *(CODE.pack(code) for code in word.bad),
+        )
+    )
     return body + SUM.pack(zlib.crc32(body))
 
 
@@ -88,18 +94,18 @@
         return None
     size, at, end = wide(of), HEAD.size, len(content) - SUM.size
     try:
-        hears = int.from_bytes(content[at:at + size], "little")
-        misses = int.from_bytes(content[at + size:at + 2 * size], "little")
+        hears = int.from_bytes(content[at : at + size], "little")
+        misses = int.from_bytes(content[at + size : at + 2 * size], "little")
         at += 2 * size
         start, count = TABLE.unpack_from(content, at)
         at += TABLE.size
-        table = content[at:at + 2 * count]
+        table = content[at : at + 2 * count]
         at += 2 * count
         count, at = content[at], at + 1
-        lives = tuple(LIFE.iter_unpack(content[at:at + count * LIFE.size]))
+        lives = tuple(LIFE.iter_unpack(content[at : at + count * LIFE.size]))
         at += count * LIFE.size
         count, at = content[at], at + 1
-        bad = tuple(code for code, in CODE.iter_unpack(content[at:at + count * CODE.size]))
+        bad = tuple(code for (code,) in CODE.iter_unpack(content[at : at + count * CODE.size]))
         at += count * CODE.size
     except (struct.error, IndexError):
         return None
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -27,11 +27,26 @@
 class Stream:
     """One connection. ``notify`` is called whenever something about it has changed."""
 
-    __slots__ = ("loop", "sock", "fd", "notify", "connecting", "ended", "error", "incoming", "outgoing",
-                 "mask", "unwanted", "received", "keep", "tell_close", "sift", "flooded")
-
-    def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object],
-                 connecting: bool = False) -> None:
+    __slots__ = (
+        "loop",
+        "sock",
+        "fd",
+        "notify",
+        "connecting",
+        "ended",
+        "error",
+        "incoming",
+        "outgoing",
+        "mask",
+        "unwanted",
+        "received",
+        "keep",
+        "tell_close",
+        "sift",
+        "flooded",
+    )
+
+    def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object], connecting: bool = False) -> None:
         self.loop, self.sock, self.fd, self.notify = loop, sock, sock.fileno(), notify
         self.connecting, self.ended, self.error = connecting, False, 0
         self.incoming, self.outgoing, self.unwanted = bytearray(), bytearray(), False
--- a/petrelhall/operator/file.py
+++ b/petrelhall/operator/file.py
@@ -47,11 +47,16 @@
         raise OperatorError(explain(str(error), msgspec.json.decode(content))) from None
     except msgspec.DecodeError as error:
         raise OperatorError(f"not JSON: {error}") from None
-    shares = {name: part.share for name, part in (("members", file.members), ("quota", file.quota),
-                                                  ("accord", file.accord)) if part.on}
+    shares = {
+        name: part.share
+        for name, part in (("members", file.members), ("quota", file.quota), ("accord", file.accord))
+        if part.on
+    }
     if sum(shares.values()) > 0.9:
-        raise OperatorError(" and ".join(f"{name}.share, {share:g}" for name, share in shares.items())
-                            + ": together they leave the other parts less than a tenth of the messages")
+        raise OperatorError(
+            " and ".join(f"{name}.share, {share:g}" for name, share in shares.items())
+            + ": together they leave the other parts less than a tenth of the messages"
+        )
     for reason in contradictions(file.links) + (unfit(file.shift) if file.shift is not None else []):
         raise OperatorError(reason)
     return file
@@ -83,8 +88,10 @@
     if move.source == move.target:
         found.append(f"shift.move.target: {move.target!r} is the source as well")
     if move.worse.accepted < move.worse.tolerated:
-        found.append(f"shift.move.worse.accepted: {move.worse.accepted:g} is below shift.move.worse.tolerated, "
-                     f"{move.worse.tolerated:g}")
+        found.append(
+            f"shift.move.worse.accepted: {move.worse.accepted:g} is below shift.move.worse.tolerated, "
+            f"{move.worse.tolerated:g}"
+        )
     shares = [step.share for step in move.steps]
     if any(later <= earlier for earlier, later in itertools.pairwise(shares)):
         found.append(f"shift.move.steps: shares must rise, not {shares}")
@@ -104,8 +111,10 @@
     if links.total and links.total < links.per_box:
         found.append(f"links.total: {links.total} is below links.per_box, {links.per_box}")
     if links.stale.idle_ms and links.stale.proven_ms > links.stale.idle_ms:
-        found.append(f"links.stale.proven_ms: {links.stale.proven_ms:g} is above links.stale.idle_ms, "
-                     f"{links.stale.idle_ms:g}")
+        found.append(
+            f"links.stale.proven_ms: {links.stale.proven_ms:g} is above links.stale.idle_ms, "
+            f"{links.stale.idle_ms:g}"
+        )
     return found
 
 
--- a/petrelhall/operator/shared.py
+++ b/petrelhall/operator/shared.py
@@ -33,8 +33,9 @@
         raise OperatorError(f"not JSON: {error}") from None
 
 
-def refused(shared: Shared, file: File, settings: api.Settings, plans: tuple[str, ...],
-            classes: tuple[str, ...]) -> str:
+def refused(
+    shared: Shared, file: File, settings: api.Settings, plans: tuple[str, ...], classes: tuple[str, ...]
+) -> str:
     """Say why a document cannot be served by a gateway with these settings; empty where it can."""
     for name, limits in shared.plans.items():
         if name not in plans:
@@ -75,8 +76,10 @@
 
 def deadlines_of(shared: Shared, settings: api.Settings, names: tuple[str, ...]) -> tuple[float, ...]:
     """Give the longest deadline of each class: the platform's, or a document's where that is shorter."""
-    return tuple(min(kind.deadline_ms, shared.classes[name].deadline_ms) if name in shared.classes
-                 else kind.deadline_ms for name, kind in zip(names, settings.classes, strict=True))
+    return tuple(
+        min(kind.deadline_ms, shared.classes[name].deadline_ms) if name in shared.classes else kind.deadline_ms
+        for name, kind in zip(names, settings.classes, strict=True)
+    )
 
 
 def least(one: N, other: N) -> N:
@@ -86,9 +89,10 @@
 
 def strictest(one: tuple[api.Plan, ...], other: tuple[api.Plan, ...]) -> tuple[api.Plan, ...]:
     """Give plans that keep within both."""
-    return tuple(dataclasses.replace(first, **{name: least(getattr(first, name), getattr(second, name))
-                                               for name in FIELDS})
-                 for first, second in zip(one, other, strict=True))
+    return tuple(
+        dataclasses.replace(first, **{name: least(getattr(first, name), getattr(second, name)) for name in FIELDS})
+        for first, second in zip(one, other, strict=True)
+    )
 
 
 def shift_of(shared: Shared, before: Shared | None, file: File) -> Shift | None:
--- a/petrelhall/quota/bound.py
+++ b/petrelhall/quota/bound.py
@@ -47,14 +47,22 @@
         Bound("split", base, 1.0 - RHO, "each side spends its own part; a side that nobody asks serves nobody"),
         Bound("bridge", base, 1.0 - RHO, "as split: a loan that is lost was taken out before"),
         Bound("stalled", base + terms.burst / n, (n - 1) / n, "what it had let in and not written comes late"),
-        Bound("mass restart", base + terms.burst, max(0.0, 1.0 - lost),
-              "gateways that find they all began together take the stores for full; else these begin empty"),
+        Bound(
+            "mass restart",
+            base + terms.burst,
+            max(0.0, 1.0 - lost),
+            "gateways that find they all began together take the stores for full; else these begin empty",
+        ),
         Bound("upgrade", base, max(0.0, 1.0 - lost / n), "the new process owns nothing until earlier loans are over"),
     ]
     if terms.counter:
         own, put = "each gateway's part is its own", "what was put in is served to nobody, and owned by nobody twice"
-        found += [Bound(state, base, 1.0 - RHO, why) for state, why in zip(
-            COUNTER_STATES, (own, f"{own}; {put}", put, f"{put}; what was to be taken is not got"), strict=True)]
+        found += [
+            Bound(state, base, 1.0 - RHO, why)
+            for state, why in zip(
+                COUNTER_STATES, (own, f"{own}; {put}", put, f"{put}; what was to be taken is not got"), strict=True
+            )
+        ]
     return found
 
 
--- a/petrelhall/quota/ledger.py
+++ b/petrelhall/quota/ledger.py
@@ -200,13 +200,19 @@
             return
         self.room -= 1.0
         self.spoke[to] = now
-        rest = words.ROOM - len(loans[:words.ROOM])
+        rest = words.ROOM - len(loans[: words.ROOM])
         if asks[rest:]:
             self.asks[to] = asks[rest:]
-        if loans[words.ROOM:]:
-            self.loans[to, life] = loans[words.ROOM:]
-        self.actions.append(Send(to, words.encode(
-            Word(self.life, life, self.got.get(to, 0), tuple(asks[:rest]), tuple(loans[:words.ROOM])))))
+        if loans[words.ROOM :]:
+            self.loans[to, life] = loans[words.ROOM :]
+        self.actions.append(
+            Send(
+                to,
+                words.encode(
+                    Word(self.life, life, self.got.get(to, 0), tuple(asks[:rest]), tuple(loans[: words.ROOM]))
+                ),
+            )
+        )
 
     # Hearing
 
@@ -275,6 +281,7 @@
                 dealing.lent = entry.nonce
                 self.lent += halves / 2.0
                 self.loans.setdefault((sender, dealing.life), []).append(
-                    Entry(entry.code, entry.nonce, halves, entry.ceiling))
+                    Entry(entry.code, entry.nonce, halves, entry.ceiling)
+                )
         if not account.waiting:
             self.pending.pop((account.code, account.ceiling), None)
--- a/petrelhall/quota/shares.py
+++ b/petrelhall/quota/shares.py
@@ -140,8 +140,9 @@
                 self.held.popleft()
         self.store -= units
 
-    def lend(self, now: float, halves: int | None = None, least_halves: int = LEAST_HALVES,
-             until: float | None = None) -> int:
+    def lend(
+        self, now: float, halves: int | None = None, least_halves: int = LEAST_HALVES, until: float | None = None
+    ) -> int:
         """Take out what can be spared (of what another wants), and give it in half units: before it is told.
 
         ``until``: when it is surely over, where that is not a loan's life and margin from now. Less than a unit is
--- a/petrelhall/quota/words.py
+++ b/petrelhall/quota/words.py
@@ -52,7 +52,8 @@
 def encode(word: Word) -> bytes:
     """Write a word."""
     body = HEAD.pack(KIND, VERSION, word.life, word.to, word.got, len(word.asks), len(word.loans)) + b"".join(
-        ENTRY.pack(entry.code, entry.nonce, entry.halves, entry.ceiling) for entry in (*word.asks, *word.loans))
+        ENTRY.pack(entry.code, entry.nonce, entry.halves, entry.ceiling) for entry in (*word.asks, *word.loans)
+    )
     return body + SUM.pack(zlib.crc32(body))
 
 
@@ -63,8 +64,10 @@
     _, _, life, to, got, asks, loans = HEAD.unpack_from(content)
     if len(content) != HEAD.size + (asks + loans) * ENTRY.size + SUM.size:
         return None
-    if SUM.unpack(content[-SUM.size:])[0] != zlib.crc32(content[:-SUM.size]):
+    if SUM.unpack(content[-SUM.size :])[0] != zlib.crc32(content[: -SUM.size]):
         return None
-    entries = [Entry(code, nonce, halves, bool(ceiling)) for code, nonce, halves, ceiling
-               in ENTRY.iter_unpack(content[HEAD.size:-SUM.size])]
+    entries = [
+        Entry(code, nonce, halves, bool(ceiling))
+        for code, nonce, halves, ceiling in ENTRY.iter_unpack(content[HEAD.size : -SUM.size])
+    ]
     return Word(life, to, got, tuple(entries[:asks]), tuple(entries[asks:]))
--- a/petrelhall/shift/judge.py
+++ b/petrelhall/shift/judge.py
@@ -118,8 +118,14 @@
     between equal pools is ever called worse.
     """
 
-    def __init__(self, tolerated: float = 1.05, margin: float = 0.01, alpha: float = 0.01, classes: int = 1,
-                 accepted: float = 1.15) -> None:
+    def __init__(
+        self,
+        tolerated: float = 1.05,
+        margin: float = 0.01,
+        alpha: float = 0.01,
+        classes: int = 1,
+        accepted: float = 1.15,
+    ) -> None:
         self.accepted = accepted
         self.tolerated, self.margin, self.alpha, self.classes = tolerated, margin, alpha, max(1, classes)
         self.all = Lane()
@@ -240,8 +246,10 @@
         count = lane.pairs
         stitched = math.sqrt((1.4 * math.log(math.log2(2.0 * count) + 1.0) + math.log(10.4 / self.alpha)) / (2 * count))
         low, high = max(0.0, mean - 1.2 * stitched), min(1.0, mean + 1.2 * stitched)
-        return (f"slower in {mean:.2f} [{low:.2f}, {high:.2f}] of {count} matches, errors "
-                f"{lane.target_errors / count:.3f} against {lane.source_errors / count:.3f}")
+        return (
+            f"slower in {mean:.2f} [{low:.2f}, {high:.2f}] of {count} matches, errors "
+            f"{lane.target_errors / count:.3f} against {lane.source_errors / count:.3f}"
+        )
 
 
 def rank(answer: Answer, bound: float, error: bool, censored: bool) -> float:
--- a/petrelhall/shift/move.py
+++ b/petrelhall/shift/move.py
@@ -138,8 +138,11 @@
             self.share = 1.0
             return self.turn(State.DONE, "the operators' word")
         if order == "undo" and state not in (State.HALTED, State.UNDOING):
-            return self.turn(State.UNDOING, "the operators' word") if self.share else self.turn(
-                State.UNDONE, "the operators' word")
+            return (
+                self.turn(State.UNDOING, "the operators' word")
+                if self.share
+                else self.turn(State.UNDONE, "the operators' word")
+            )
         if state is State.IDLE:
             return self.begin(unix_s, pools_ready)
         if state is State.HALTED:
@@ -186,7 +189,8 @@
         if self.clock - self.step_at < 1000.0 * step.least_s:
             self.reason = f"step {self.step + 1} has its time: {words}"
         elif step.share < 1.0 and (  # all of it: nothing is left to compare with
-                self.step_matched < step.least_evidence or judgement is not Judgement.NO_WORSE):
+            self.step_matched < step.least_evidence or judgement is not Judgement.NO_WORSE
+        ):
             self.reason = f"step {self.step + 1} lacks evidence ({self.step_matched} matches): {words}"
             if self.clock - self.matched_at > 1000.0 * STARVED_S:
                 self.turn(State.HOLDING, "traffic is too thin to judge")
@@ -228,10 +232,19 @@
         """Give the state for people and machines."""
         judge = self.judge
         return {
-            "move": self.move.name, "state": self.state.value, "share": round(self.wanted, 4), "step": self.step + 1,
-            "steps": len(self.move.steps), "reason": self.reason, "matched": judge.matched,
-            "unmatched": judge.unmatched, "effect": judge.effect(),
-            "log_wealth": {"slower": round(judge.all.slower.log, 2), "errs": round(judge.all.errs.log, 2),
-                           "fine": round(judge.all.fine.log, 2)},
+            "move": self.move.name,
+            "state": self.state.value,
+            "share": round(self.wanted, 4),
+            "step": self.step + 1,
+            "steps": len(self.move.steps),
+            "reason": self.reason,
+            "matched": judge.matched,
+            "unmatched": judge.unmatched,
+            "effect": judge.effect(),
+            "log_wealth": {
+                "slower": round(judge.all.slower.log, 2),
+                "errs": round(judge.all.errs.log, 2),
+                "fine": round(judge.all.fine.log, 2),
+            },
             "classes": {str(kind): judge.effect(lane) for kind, lane in judge.by_class.items()},
         }
--- a/petrelhall/shift/plan.py
+++ b/petrelhall/shift/plan.py
@@ -39,12 +39,14 @@
     def holds(self, pool: Pool, entry: Mapping[str, Any]) -> bool:
         """Tell whether a pool's conditions, all that it states, hold for a box."""
         pattern = self.patterns.get(pool.name)
-        return all((
-            pool.kind is None or entry.get("kind") == pool.kind,
-            pool.zone is None or entry.get("zone") == pool.zone,
-            pool.cell is None or entry.get("cell") == pool.cell,
-            pattern is None or pattern.fullmatch(str(entry.get("id"))) is not None,
-        ))
+        return all(
+            (
+                pool.kind is None or entry.get("kind") == pool.kind,
+                pool.zone is None or entry.get("zone") == pool.zone,
+                pool.cell is None or entry.get("cell") == pool.cell,
+                pattern is None or pattern.fullmatch(str(entry.get("id"))) is not None,
+            )
+        )
 
 
 def place(move: str, key: str) -> float:
--- a/petrelhall/standins/box.py
+++ b/petrelhall/standins/box.py
@@ -298,7 +298,8 @@
         done = box.work(box.model.service_ms * box.random.uniform(0.5, 1.5))
         key = head.fields.get(b"idempotency-key", b"").decode("latin-1")
         asyncio.get_running_loop().call_at(
-            asyncio.get_running_loop().time() + done - now, self.served, name, key, len(body))
+            asyncio.get_running_loop().time() + done - now, self.served, name, key, len(body)
+        )
 
     def served(self, name: str, key: str, size: int) -> None:
         """Answer what has run."""
