--- a/petrelhall/standins/changes.py
+++ b/petrelhall/standins/changes.py
@@ -102,8 +102,11 @@
         while not self.take(change, told) and time.monotonic() - at < FOLLOW_S:
             await asyncio.sleep(POLL_S)
             view = await self.ask(number, "GET", "/control/policy")
-            rows = [row for row in (view or {}).get("changes", ())
-                    if (row["version"], row["digest"]) == (change.version, change.digest)]
+            rows = [
+                row
+                for row in (view or {}).get("changes", ())
+                if (row["version"], row["digest"]) == (change.version, change.digest)
+            ]
             if view is not None and not rows:
                 return  # another process by now: it does not know of it
             told = rows[-1] if rows else {"state": "not known"}
@@ -141,8 +144,9 @@
         await asyncio.gather(*self.following, return_exceptions=True)
         until = time.monotonic() + SETTLE_S
         while time.monotonic() < until:
-            views = await asyncio.gather(*(self.ask(number, "GET", "/control/policy")
-                                           for number in range(self.setup.gateways)))
+            views = await asyncio.gather(
+                *(self.ask(number, "GET", "/control/policy") for number in range(self.setup.gateways))
+            )
             self.views = [view for view in views if view is not None and view["version"] is not None]
             histories = [{row["version"]: row["digest"] for row in view["history"]} for view in self.views]
             for change in self.open():
@@ -167,31 +171,49 @@
         """Judge it, and give the drill's figures."""
         # The same document asked for at two gateways may be refused at one and go in by the other.
         asked = Counter((change.version, change.digest[:8]) for change in self.changes)
-        self.record.claims = [claim for claim in self.record.claims
-                              if claim.state == "in force" or asked[claim.version, claim.digest] == 1]
+        self.record.claims = [
+            claim
+            for claim in self.record.claims
+            if claim.state == "in force" or asked[claim.version, claim.digest] == 1
+        ]
         verdict = self.record.judge()
-        ended = {state: [change for change in self.changes if change.state == state]
-                 for state in ("in force", "nowhere", "not known")}
+        ended = {
+            state: [change for change in self.changes if change.state == state]
+            for state in ("in force", "nowhere", "not known")
+        }
         refusals = [change for change in ended["nowhere"] if change.reasons and "-1" not in change.reasons]
         states = [view["state"] for view in self.views]
         assert self.network is not None
         return {
-            "seed": self.setup.seed, "examples": verdict.examples, "versions": verdict.versions,
-            "wrong_answers": verdict.wrong_answers, "not_serving_at_end": self.setup.gateways - states.count("serving"),
+            "seed": self.setup.seed,
+            "examples": verdict.examples,
+            "versions": verdict.versions,
+            "wrong_answers": verdict.wrong_answers,
+            "not_serving_at_end": self.setup.gateways - states.count("serving"),
             "why": sorted({view["why"] for view in self.views if view["why"]}),
             "upgrades_wrong": [wrong for wrong in self.upgrades if wrong],
-            "exit_codes": self.codes + report["exit_codes"], "broken": report["broken"],
-            "excused": self.judge.seen["excused"], "served": report["served"], "admitted": len(self.record.admitted),
+            "exit_codes": self.codes + report["exit_codes"],
+            "broken": report["broken"],
+            "excused": self.judge.seen["excused"],
+            "served": report["served"],
+            "admitted": len(self.record.admitted),
             "words": report["gateway_counts"].get("accord.words", 0),
-            "dropped": {name: count for name, count in report["gateway_counts"].items()
-                        if name.startswith("accord.dropped")},
-            "datagrams": dict(self.network.seen), "faults": len(self.strikes.strikes),
+            "dropped": {
+                name: count for name, count in report["gateway_counts"].items() if name.startswith("accord.dropped")
+            },
+            "datagrams": dict(self.network.seen),
+            "faults": len(self.strikes.strikes),
             "reasons": sorted({reason for change in ended["nowhere"] for reason in change.reasons.values()})[:12],
-            "changes": len(self.changes), "in_force": len(ended["in force"]), "nowhere": len(ended["nowhere"]),
-            "unknown_at_end": len(ended["not known"]), "mixed": verdict.mixed, "lost_changes": verdict.lost_changes,
+            "changes": len(self.changes),
+            "in_force": len(ended["in force"]),
+            "nowhere": len(ended["nowhere"]),
+            "unknown_at_end": len(ended["not known"]),
+            "mixed": verdict.mixed,
+            "lost_changes": verdict.lost_changes,
             "slowest_in_force_s": round(max((one.took_s for one in ended["in force"]), default=0.0), 2),
             "slowest_refusal_s": round(max((one.took_s for one in refusals), default=0.0), 2),
-            "requests": report["requests"], "refused_unsure": self.judge.seen["unsure"],
+            "requests": report["requests"],
+            "refused_unsure": self.judge.seen["unsure"],
             "lost": report["lost"] + report["spoilt"] + report["unanswered"],
         }
 
--- a/petrelhall/standins/counting.py
+++ b/petrelhall/standins/counting.py
@@ -41,9 +41,11 @@
             elif asked is not None:
                 self.large.use(asked.district, now)
                 self.ceiling.use(asked.district, now)
+
         self.judge.on_first = first
         crowd.on_refused = lambda asked: (self.large if asked.district % 2 else self.meter).refuse(
-            asked.district, time.monotonic())
+            asked.district, time.monotonic()
+        )
         first_trouble = self.draw.randrange(len(TROUBLES))
         while True:
             await asyncio.sleep(max(0.0, self.began + self.every_s * (self.happened + 0.7) - time.monotonic()))
@@ -83,14 +85,18 @@
             meter.stores.pop(-1, None)
         refused = self.meter.refused + self.large.refused
         return {
-            "seed": self.setup.seed, "troubles": self.happened, "exit_codes": report["exit_codes"],
-            "broken": report["broken"], "counter": {name: count for name, count in report["gateway_counts"].items()
-                                                    if name.startswith("counter.")},
+            "seed": self.setup.seed,
+            "troubles": self.happened,
+            "exit_codes": report["exit_codes"],
+            "broken": report["broken"],
+            "counter": {name: count for name, count in report["gateway_counts"].items() if name.startswith("counter.")},
             "units_put": round(sum(seen["put"] for seen in self.views)),
             "units_taken": round(sum(seen["taken"] for seen in self.views)),
             "refused_with_half_unused_share": round(
-                (self.meter.refused_half_unused + self.large.refused_half_unused) / max(1, refused), 4),
-            "requests": report["requests"], "lost": report["lost"] + report["spoilt"] + report["unanswered"],
+                (self.meter.refused_half_unused + self.large.refused_half_unused) / max(1, refused), 4
+            ),
+            "requests": report["requests"],
+            "lost": report["lost"] + report["spoilt"] + report["unanswered"],
             "large_error_units": round(self.large.worst(), 1),
             "districts": len(self.meter.stores) + len(self.large.stores),
             "worst_error_units": round(self.meter.worst(), 1),
--- a/petrelhall/standins/crowd.py
+++ b/petrelhall/standins/crowd.py
@@ -107,8 +107,9 @@
 class Crowd:
     """All clients of one run."""
 
-    def __init__(self, demand: Demand, judge: Judge, gateways: list[tuple[str, int]], plans: list[str],
-                 seed: int) -> None:
+    def __init__(
+        self, demand: Demand, judge: Judge, gateways: list[tuple[str, int]], plans: list[str], seed: int
+    ) -> None:
         self.demand, self.judge, self.gateways, self.plans = demand, judge, gateways, plans
         self.random = random.Random(f"{seed}/crowd")
         self.idle: list[deque[Client]] = [deque() for _ in gateways]
@@ -176,15 +177,19 @@
         district = self.random.randrange(self.demand.districts)
         keyed = self.random.random() < self.demand.keyed_share
         now = time.monotonic()
-        asked = Asked(f"{self.random.getrandbits(64):016x}", now, now + self.demand.deadline_ms / 1000.0, keyed,
-                      district=district)
+        asked = Asked(
+            f"{self.random.getrandbits(64):016x}", now, now + self.demand.deadline_ms / 1000.0, keyed, district=district
+        )
         self.out[asked.name] = asked
         plan = self.plans[district % len(self.plans)]
         body = b"x" * self.random.randrange(400) if keyed else b""
         head = [
-            f"{'POST' if keyed else 'GET'} /api?client={district:016x} HTTP/1.1", "Host: service.internal",
-            f"X-Request-Id: {asked.name}", f"X-Class: {'enroll-change' if keyed else 'view-schedule'}",
-            f"X-Contract: {plan}", f"X-Deadline: {self.demand.deadline_ms}m",
+            f"{'POST' if keyed else 'GET'} /api?client={district:016x} HTTP/1.1",
+            "Host: service.internal",
+            f"X-Request-Id: {asked.name}",
+            f"X-Class: {'enroll-change' if keyed else 'view-schedule'}",
+            f"X-Contract: {plan}",
+            f"X-Deadline: {self.demand.deadline_ms}m",
             f"X-Metering: units=1,spread={len(self.gateways)},first=0",
         ]
         if keyed:
@@ -259,5 +264,10 @@
         def at(share: float) -> float:
             return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 1) if ordered else 0.0
 
-        return {"requests": self.asked, "connections_made": self.made, "unasked": self.unasked,
-                "p50_ms": at(0.5), "p99_ms": at(0.99)}
+        return {
+            "requests": self.asked,
+            "connections_made": self.made,
+            "unasked": self.unasked,
+            "p50_ms": at(0.5),
+            "p99_ms": at(0.99),
+        }
--- a/petrelhall/standins/discovery.py
+++ b/petrelhall/standins/discovery.py
@@ -22,12 +22,28 @@
         self.changes: list[tuple[int, Entry]] = []
         self.changed = asyncio.Event()
 
-    def put(self, name: str, address: tuple[str, int], state: str = "Ready", started_ms: int = 0,
-            zone: str = "room-a", kind: str = "m1", cell: int = 0) -> None:
+    def put(
+        self,
+        name: str,
+        address: tuple[str, int],
+        state: str = "Ready",
+        started_ms: int = 0,
+        zone: str = "room-a",
+        kind: str = "m1",
+        cell: int = 0,
+    ) -> None:
         """Add or change an entry; ``Gone`` removes it."""
         self.version += 1
-        entry = {"id": name, "addr": text(address), "zone": zone, "kind": kind, "cell": cell, "state": state,
-                 "weight": 1.0, "started_ms": started_ms}
+        entry = {
+            "id": name,
+            "addr": text(address),
+            "zone": zone,
+            "kind": kind,
+            "cell": cell,
+            "state": state,
+            "weight": 1.0,
+            "started_ms": started_ms,
+        }
         if state == "Gone":
             self.entries.pop(name, None)
         else:
--- a/petrelhall/standins/drill.py
+++ b/petrelhall/standins/drill.py
@@ -60,20 +60,26 @@
         assert self.network is not None
         numbers = range(self.setup.gateways)
         at = [self.trouble[number] for number in numbers]
-        self.moments.append(Moment(
-            time.time(),
-            frozenset(n for n in numbers if not (at[n].dead or at[n].leaving or at[n].stopped)),
-            frozenset(pair for pair, way in self.network.ways.items() if way.cut),
-            frozenset(n for n in numbers if at[n].dead or at[n].leaving),
-            frozenset(n for n in numbers if at[n].starved or at[n].replaced)))
+        self.moments.append(
+            Moment(
+                time.time(),
+                frozenset(n for n in numbers if not (at[n].dead or at[n].leaving or at[n].stopped)),
+                frozenset(pair for pair, way in self.network.ways.items() if way.cut),
+                frozenset(n for n in numbers if at[n].dead or at[n].leaving),
+                frozenset(n for n in numbers if at[n].starved or at[n].replaced),
+            )
+        )
         assert self.crowd is not None
         for number in numbers:
             if at[number].any:
                 self.crowd.troubled[number] = float("inf")
             elif self.crowd.troubled.get(number) == float("inf"):
                 self.crowd.troubled[number] = time.monotonic()
-            (self.crowd.down.add if at[number].dead or at[number].leaving or at[number].stopped
-             else self.crowd.down.discard)(number)
+            (
+                self.crowd.down.add
+                if at[number].dead or at[number].leaving or at[number].stopped
+                else self.crowd.down.discard
+            )(number)
 
     # Strikes
 
@@ -175,10 +181,18 @@
         for line in lines:
             place = line.find(": member {")
             if place >= 0:
-                value = json.loads(line[place + 9:])
+                value = json.loads(line[place + 9 :])
                 if "number" in value and value["state"] != "away" and "trusted" not in value.get("why", ""):
-                    self.said.append(Said(value["at_ms"] / 1000.0, gateway.number, value["self"],
-                                          value["number"], value["state"], value["life"]))
+                    self.said.append(
+                        Said(
+                            value["at_ms"] / 1000.0,
+                            gateway.number,
+                            value["self"],
+                            value["number"],
+                            value["state"],
+                            value["life"],
+                        )
+                    )
 
     async def last(self) -> None:
         """Before everything ends: look at all views once things have been calm for long enough."""
@@ -194,23 +208,37 @@
         stated = Stated(pace["fail_ms"] / 1000.0, pace["found_ms"] / 1000.0, slack, pace["hear_ms"] / 1000.0)
         verdict = History(self.setup.gateways, self.moments, self.said, self.calm_at + CALM_S, stated).judge()
         assert self.network is not None
-        history = {"moments": [[moment.at, sorted(moment.running), sorted(moment.cut), sorted(moment.gone),
-                                sorted(moment.blind)] for moment in self.moments],
-                   "said": [list(dataclasses.astuple(one)) for one in self.said]}
+        history = {
+            "moments": [
+                [moment.at, sorted(moment.running), sorted(moment.cut), sorted(moment.gone), sorted(moment.blind)]
+                for moment in self.moments
+            ],
+            "said": [list(dataclasses.astuple(one)) for one in self.said],
+        }
         return {
             **({"history": history} if verdict.examples else {}),
-            "seed": self.setup.seed, "stated_found_s": stated.found_s, "examples": verdict.examples,
+            "seed": self.setup.seed,
+            "stated_found_s": stated.found_s,
+            "examples": verdict.examples,
             "upgrades_wrong": [wrong for wrong in self.upgrades if wrong],
-            "exit_codes": self.codes + report["exit_codes"], "broken": report["broken"],
-            "excused": self.judge.seen["excused"], "served": report["served"],
+            "exit_codes": self.codes + report["exit_codes"],
+            "broken": report["broken"],
+            "excused": self.judge.seen["excused"],
+            "served": report["served"],
             "datagrams": dict(self.network.seen),
-            "faults": len(self.strikes.strikes), "failures": verdict.failures, "found": verdict.found,
-            "slowest_found_s": round(verdict.slowest_found_s, 2), "wrongly_failed": verdict.wrongly_failed,
-            "slowest_healed_s": round(verdict.slowest_healed_s, 2), "dead_lives_back": verdict.dead_lives_back,
+            "faults": len(self.strikes.strikes),
+            "failures": verdict.failures,
+            "found": verdict.found,
+            "slowest_found_s": round(verdict.slowest_found_s, 2),
+            "wrongly_failed": verdict.wrongly_failed,
+            "slowest_healed_s": round(verdict.slowest_healed_s, 2),
+            "dead_lives_back": verdict.dead_lives_back,
             "views_differ_at_end": len({seen["digest"] for seen in self.views}) - 1,
-            "requests": report["requests"], "lost": report["lost"] + report["spoilt"] + report["unanswered"],
-            "words_per_s_each": round(sum(1000.0 * seen["words"] / seen["up_ms"] for seen in self.views)
-                                      / len(self.views), 2),
+            "requests": report["requests"],
+            "lost": report["lost"] + report["spoilt"] + report["unanswered"],
+            "words_per_s_each": round(
+                sum(1000.0 * seen["words"] / seen["up_ms"] for seen in self.views) / len(self.views), 2
+            ),
         }
 
 
@@ -264,7 +292,8 @@
         crowd = self.crowd
         crowd.plans = [self.PLAN]
         self.judge.on_first = lambda request, now: self.meter.use(
-            crowd.out[request].district if request in crowd.out else -1, now)
+            crowd.out[request].district if request in crowd.out else -1, now
+        )
         crowd.on_refused = lambda asked: self.meter.refuse(asked.district, time.monotonic())
         await super().play()
 
@@ -278,18 +307,22 @@
         self.meter.stores.pop(-1, None)
         gone = sum(one.do in ("kill", "leave", "stop", "starve") for one in self.strikes.strikes)
         return {
-            "seed": self.setup.seed, "struck_processes": gone,
+            "seed": self.setup.seed,
+            "struck_processes": gone,
             "stops": sum(one.do in ("stop", "starve") for one in self.strikes.strikes),
-            "exit_codes": self.codes + report["exit_codes"], "broken": report["broken"],
+            "exit_codes": self.codes + report["exit_codes"],
+            "broken": report["broken"],
             "units_lent": round(sum(seen["lent"] for seen in self.views)),
             "quota_words": report["gateway_counts"].get("quota.words", 0),
-            "refused_by": {name: count for name, count in report["gateway_counts"].items()
-                           if name.startswith("refused.")},
+            "refused_by": {
+                name: count for name, count in report["gateway_counts"].items() if name.startswith("refused.")
+            },
             "upgrades_wrong": [wrong for wrong in self.upgrades if wrong],
-            "faults": len(self.strikes.strikes), "districts": len(self.meter.stores),
+            "faults": len(self.strikes.strikes),
+            "districts": len(self.meter.stores),
             "worst_error_units": round(self.meter.worst(), 1),
             "least_served_share": round(self.meter.least_served(self.setup.seconds), 3),
-            "refused_with_half_unused_share": round(
-                self.meter.refused_half_unused / max(1, self.meter.refused), 4),
-            "requests": report["requests"], "lost": report["lost"] + report["spoilt"] + report["unanswered"],
+            "refused_with_half_unused_share": round(self.meter.refused_half_unused / max(1, self.meter.refused), 4),
+            "requests": report["requests"],
+            "lost": report["lost"] + report["spoilt"] + report["unanswered"],
         }
--- a/petrelhall/standins/faults.py
+++ b/petrelhall/standins/faults.py
@@ -15,8 +15,24 @@
     """One thing that happens; ``boxes`` are numbers, none named means all."""
 
     at_s: Seconds
-    do: Literal["idle_limit", "slow", "refuse", "hang", "mute", "cap", "break", "heal", "crash", "restart", "replace",
-                "drain", "undrain", "add", "kill_gateway", "restart_gateway"]
+    do: Literal[
+        "idle_limit",
+        "slow",
+        "refuse",
+        "hang",
+        "mute",
+        "cap",
+        "break",
+        "heal",
+        "crash",
+        "restart",
+        "replace",
+        "drain",
+        "undrain",
+        "add",
+        "kill_gateway",
+        "restart_gateway",
+    ]
     boxes: tuple[int, ...] = ()
     gateway: int = 0
     low_s: Seconds = 0.0  # idle_limit: range from which each idle spell's limit is drawn; 0 for none
@@ -48,8 +64,9 @@
         for box in range(boxes):
             low = draw.choice((0.3, 0.4, 0.6, 0.9, 2.0, 8.0, 30.0))
             high = low * draw.choice((1.0, 1.0, 1.5))
-            faults.append(Fault(at, "idle_limit", (box,), low_s=low, high_s=high,
-                                mode=draw.choice(("silent", "silent", "close"))))
+            faults.append(
+                Fault(at, "idle_limit", (box,), low_s=low, high_s=high, mode=draw.choice(("silent", "silent", "close")))
+            )
         at += 45.0
     at = 20.0
     while at < seconds - 15.0:
--- a/petrelhall/standins/history.py
+++ b/petrelhall/standins/history.py
@@ -101,8 +101,11 @@
         well = moment.running - moment.blind
         if observer not in well:
             return False
-        both = sum((observer, other) not in moment.cut and (other, observer) not in moment.cut
-                   for other in well if other != observer)
+        both = sum(
+            (observer, other) not in moment.cut and (other, observer) not in moment.cut
+            for other in well
+            if other != observer
+        )
         return 2 * (both + 1) > self.gateways
 
     def few(self, observer: int, at: float) -> bool:
@@ -112,8 +115,9 @@
             if self.until(moment) < at - self.stated.alone_s or moment.at > at:
                 continue
             for number in moment.running - {observer}:
-                other_way[number] |= {way for way, pair in enumerate(((observer, number), (number, observer)))
-                                      if pair not in moment.cut}
+                other_way[number] |= {
+                    way for way, pair in enumerate(((observer, number), (number, observer))) if pair not in moment.cut
+                }
         return 2 * (sum(len(ways) == 2 for ways in other_way.values()) + 1) <= self.gateways
 
     def silence(self, observer: int, number: int, at: float) -> float:
@@ -149,8 +153,10 @@
 
     def lost(self, observer: int, number: int) -> Any:
         """Give whether, at a place, an observer that runs can hear nothing of a member."""
-        return lambda place: (observer in self.moments[place].running - self.moments[place].blind
-                              and number not in self.reaches[place][observer])
+        return lambda place: (
+            observer in self.moments[place].running - self.moments[place].blind
+            and number not in self.reaches[place][observer]
+        )
 
     def known(self, observer: int, number: int) -> list[Said]:
         """Give what one said of another; a process that starts has said nothing, and the one before no more."""
@@ -199,8 +205,10 @@
     def complete(self, observer: int, number: int, said: list[Said]) -> None:
         """Every loss that lasts is found: called failed by a majority's members, doubted at least by the others."""
         lost = self.lost(observer, number)
-        cases = ((("failed", "left"), lambda place: lost(place) and self.able(place, observer)),
-                 (("failed", "left", "doubt"), lambda place: lost(place) and not self.able(place, observer)))
+        cases = (
+            (("failed", "left"), lambda place: lost(place) and self.able(place, observer)),
+            (("failed", "left", "doubt"), lambda place: lost(place) and not self.able(place, observer)),
+        )
         for states, holds in cases:
             for begun, over in self.broken(observer, self.spans(holds)):
                 if over - begun < self.stated.found_s:
@@ -225,15 +233,22 @@
             few = self.few(observer, one.at)
             if not fits or few:
                 self.verdict.wrongly_failed += 1
-                self.verdict.wrong(f"{observer} wrongly called {number} failed at {one.at:.2f}"
-                                   f"{', without a majority' if few else ''}")
+                self.verdict.wrong(
+                    f"{observer} wrongly called {number} failed at {one.at:.2f}"
+                    f"{', without a majority' if few else ''}"
+                )
 
     def healed(self, observer: int, number: int, said: list[Said]) -> None:
         """Whoever can be heard of again is soon held for here."""
+
         def meets(place: int) -> bool:
             moment = self.moments[place]
-            return (observer in moment.running - moment.blind and number in moment.running
-                    and number in self.reaches[place][observer])
+            return (
+                observer in moment.running - moment.blind
+                and number in moment.running
+                and number in self.reaches[place][observer]
+            )
+
         for begun, over in self.spans(meets):
             if begun <= self.moments[0].at or over - begun < self.stated.slack_s + 0.5:
                 continue
@@ -268,8 +283,11 @@
                 failed[key] = one.life
             elif one.state == "here" and failed.get(key) == one.life:
                 # Called failed, then here, in one life: not if it was dead for longer than it takes to find that.
-                back |= all(one.number in moment.gone for moment in self.moments
-                            if self.until(moment) >= one.at - self.stated.found_s and moment.at <= one.at)
+                back |= all(
+                    one.number in moment.gone
+                    for moment in self.moments
+                    if self.until(moment) >= one.at - self.stated.found_s and moment.at <= one.at
+                )
             if back:
                 self.verdict.dead_lives_back += 1
                 self.verdict.wrong(f"{one.by} took a dead life of {one.number} for here at {one.at:.2f}")
--- a/petrelhall/standins/judge.py
+++ b/petrelhall/standins/judge.py
@@ -86,5 +86,6 @@
             **self.seen,
             "final_answers": sum(self.answers.values()),
             "keys_run_twice": sum(count > 1 for count in self.keys.values()),
-            "broken": dict(self.broken), "examples": self.examples,
+            "broken": dict(self.broken),
+            "examples": self.examples,
         }
--- a/petrelhall/standins/network.py
+++ b/petrelhall/standins/network.py
@@ -52,8 +52,12 @@
         self.numbers = {address: number for number, address in enumerate(own)}
         self.senders = [self.open() for _ in own]
         self.everyone = self.open()
-        self.ways = {(sender, receiver): Way() for sender in range(len(own)) for receiver in range(len(own))
-                     if sender != receiver}
+        self.ways = {
+            (sender, receiver): Way()
+            for sender in range(len(own))
+            for receiver in range(len(own))
+            if sender != receiver
+        }
         self.seen: Counter[str] = Counter()
         self.carried: Counter[int] = Counter()  # by sender: datagrams, one for each receiver
 
@@ -100,7 +104,7 @@
             if sender is None or len(content) > LONGEST:
                 self.seen["foreign" if sender is None else "too_long"] += 1
                 continue
-            for number in (range(len(self.own)) if receiver is None else (receiver,)):
+            for number in range(len(self.own)) if receiver is None else (receiver,):
                 if number != sender:
                     self.carry(sender, number, content)
 
@@ -114,7 +118,7 @@
         if way.spoil and draw.random() < way.spoil:
             self.seen["spoilt"] += 1
             at = draw.randrange(len(content))
-            content = content[:at] + bytes([content[at] ^ 1 << draw.randrange(8)]) + content[at + 1:]
+            content = content[:at] + bytes([content[at] ^ 1 << draw.randrange(8)]) + content[at + 1 :]
         for _ in range(2 if way.repeat and draw.random() < way.repeat else 1):
             delay = draw.uniform(*way.delay_s)
             if delay:
--- a/petrelhall/standins/policies.py
+++ b/petrelhall/standins/policies.py
@@ -69,13 +69,17 @@
         for one in self.admitted:
             if names.setdefault(one.version, one.digest) != one.digest:
                 verdict.mixed += 1
-                verdict.note(f"version {one.version} is {one.digest} at gateway {one.gateway}, "
-                             f"{names[one.version]} elsewhere")
+                verdict.note(
+                    f"version {one.version} is {one.digest} at gateway {one.gateway}, "
+                    f"{names[one.version]} elsewhere"
+                )
             later = [(version, at) for version, at in starts if version > one.version and at + self.slack_ms < one.at]
             if later:
                 verdict.mixed += 1
-                verdict.note(f"gateway {one.gateway} admitted under {one.version} {one.at - later[0][1]:.1f} ms after "
-                             f"the first under {later[0][0]}")
+                verdict.note(
+                    f"gateway {one.gateway} admitted under {one.version} {one.at - later[0][1]:.1f} ms after "
+                    f"the first under {later[0][0]}"
+                )
         for history in self.histories:
             for version, digest in history.items():
                 if names.setdefault(version, digest) != digest:
@@ -85,13 +89,21 @@
         for claim in self.claims:
             there = names.get(claim.version) == claim.digest
             if claim.state == "in force":
-                before = [one for one in self.admitted
-                          if one.at > claim.at + self.slack_ms and one.version < claim.version and not one.either]
+                before = [
+                    one
+                    for one in self.admitted
+                    if one.at > claim.at + self.slack_ms and one.version < claim.version and not one.either
+                ]
                 if not there or before or last < claim.version:
                     verdict.lost_changes += 1
-                    verdict.note(f"version {claim.version} {claim.digest} was told to be in force: "
-                                 + (f"gateway {before[0].gateway} admitted under {before[0].version} later" if before
-                                    else f"it is {names.get(claim.version)}"))
+                    verdict.note(
+                        f"version {claim.version} {claim.digest} was told to be in force: "
+                        + (
+                            f"gateway {before[0].gateway} admitted under {before[0].version} later"
+                            if before
+                            else f"it is {names.get(claim.version)}"
+                        )
+                    )
             elif claim.state == "nowhere" and there:
                 verdict.wrong_answers += 1
                 verdict.note(f"version {claim.version} {claim.digest} was told to be nowhere")
--- a/petrelhall/standins/strikes.py
+++ b/petrelhall/standins/strikes.py
@@ -65,16 +65,27 @@
 def drawn(seconds: float, gateways: int, seed: int, settle_s: float = 4.0, rest_s: float = 6.0) -> Play:
     """Draw a play: noise all along, and strikes that overlap now and then, with calm at the begin and the end."""
     draw = random.Random(f"{seed}/strikes")
-    noise = Noise(loss=draw.uniform(0.0, 0.2), high_ms=draw.choice((20.0, 80.0, 150.0, 300.0)),
-                  repeat=draw.uniform(0.0, 0.1), spoil=draw.uniform(0.0, 0.05))
+    noise = Noise(
+        loss=draw.uniform(0.0, 0.2),
+        high_ms=draw.choice((20.0, 80.0, 150.0, 300.0)),
+        repeat=draw.uniform(0.0, 0.1),
+        spoil=draw.uniform(0.0, 0.05),
+    )
     everyone = list(range(gateways))
     strikes = []
     free = [settle_s] * gateways  # from when each may be struck again
     at = settle_s
     while at < seconds - rest_s - 1.0:
         do = draw.choice(KINDS)
-        length = {"kill": draw.choice((0.0, 1.0, 7.0)), "stop": draw.choice((0.5, 2.0, 10.0)),
-                  "cut": draw.uniform(2.0, 9.0), "flap": 4.0, "leave": 1.0, "upgrade": 3.0, "starve": 3.0}[do]
+        length = {
+            "kill": draw.choice((0.0, 1.0, 7.0)),
+            "stop": draw.choice((0.5, 2.0, 10.0)),
+            "cut": draw.uniform(2.0, 9.0),
+            "flap": 4.0,
+            "leave": 1.0,
+            "upgrade": 3.0,
+            "starve": 3.0,
+        }[do]
         length = min(length, max(0.0, seconds - rest_s - at))
         idle = [number for number in everyone if free[number] <= at]
         if do in ("cut", "flap"):
@@ -106,6 +117,7 @@
     def until(end: float) -> float:
         later = max((over for start, over in quiet if start < end), default=0.0) + empty_s
         return end if later <= end else until(later)
+
     empty: list[tuple[float, float, int]] = []
     for strike in sorted(play.strikes, key=lambda one: one.at_s):
         if strike.do in ("kill", "leave", "upgrade"):
--- a/petrelhall/standins/wire.py
+++ b/petrelhall/standins/wire.py
@@ -46,12 +46,12 @@
                     raise Malformed("head too long")
                 return None
             self.head = parse(bytes(self.buffer[:end]))
-            del self.buffer[:end + 4]
+            del self.buffer[: end + 4]
         if len(self.buffer) < self.head.length:
             return None
         head, self.head = self.head, None
-        body = bytes(self.buffer[:head.length])
-        del self.buffer[:head.length]
+        body = bytes(self.buffer[: head.length])
+        del self.buffer[: head.length]
         return head, body
 
 
--- a/petrelhall/standins/world.py
+++ b/petrelhall/standins/world.py
@@ -59,22 +59,44 @@
     """Word the settings of a run as the platform's object."""
     aim = deadline_ms / 3.0
     return {
-        "Areas": ["room-a"], "Balancers": gateways, "Position": position,
+        "Areas": ["room-a"],
+        "Balancers": gateways,
+        "Position": position,
         "Grades": [
-            {"Name": name, "Effect": effect, "Group": "all", "PromiseMs": aim, "DeadlineMs": deadline_ms,
-             "WindowMs": 1200.0, "LateWorth": 0.2}
+            {
+                "Name": name,
+                "Effect": effect,
+                "Group": "all",
+                "PromiseMs": aim,
+                "DeadlineMs": deadline_ms,
+                "WindowMs": 1200.0,
+                "LateWorth": 0.2,
+            }
             for name, effect in (("view-schedule", "repeatable"), ("enroll-change", "by_key"))
         ],
         "Packages": [
             {"Name": "district", "QuotaRate": 40.0, "Depth": 60.0},
-            {"Name": "large-district", "QuotaRate": 80.0, "Depth": 120.0, "Parallel": 16,
-             "NeverOverRate": 150.0, "CapDepth": 220.0, "CeilingSlack": 0.1},
+            {
+                "Name": "large-district",
+                "QuotaRate": 80.0,
+                "Depth": 120.0,
+                "Parallel": 16,
+                "NeverOverRate": 150.0,
+                "CapDepth": 220.0,
+                "CeilingSlack": 0.1,
+            },
         ],
         "FamilyInfo": {"SharedCounter": True, "CountWaitMs": 80.0, "Largest": 1, "MailPerS": 100.0},
-        "Limits": {"Cancel": True, "MaxAttempts": 5, "RetryAfter": True, "MaxRetryAfterMs": 2000.0,
-                   "ConnIdleMs": 30000.0, "ConnectTimeoutMs": 250.0, "MayTell": speak and gateways > 1},
-        "Rules": {"DrainGraceMs": 1000.0, "ColdFrom": 0.25, "ColdMs": 10000.0, "OverloadFactor": 2.5,
-                  "FallMs": 1000.0},
+        "Limits": {
+            "Cancel": True,
+            "MaxAttempts": 5,
+            "RetryAfter": True,
+            "MaxRetryAfterMs": 2000.0,
+            "ConnIdleMs": 30000.0,
+            "ConnectTimeoutMs": 250.0,
+            "MayTell": speak and gateways > 1,
+        },
+        "Rules": {"DrainGraceMs": 1000.0, "ColdFrom": 0.25, "ColdMs": 10000.0, "OverloadFactor": 2.5, "FallMs": 1000.0},
         "Report": {"Source": "piggyback", "Names": ["rif", "rate"]},
     }
 
@@ -105,8 +127,13 @@
         """Start it."""
         self.mgmt = text(free_port())
         with open(self.log_path, "ab") as log:
-            self.process = subprocess.Popen(self.command, env={**self.environment, "EDGE_MGMT": self.mgmt},
-                                            cwd=self.folder, stderr=log, stdout=subprocess.DEVNULL)
+            self.process = subprocess.Popen(
+                self.command,
+                env={**self.environment, "EDGE_MGMT": self.mgmt},
+                cwd=self.folder,
+                stderr=log,
+                stdout=subprocess.DEVNULL,
+            )
 
     async def upgrade(self) -> str:
         """Start another process beside this one, and end this one once that is ready; tell what went wrong."""
@@ -160,13 +187,13 @@
         with open(self.log_path, errors="replace") as file:
             file.seek(self.read)
             text = file.read()
-        whole = text[:text.rfind("\n") + 1]
+        whole = text[: text.rfind("\n") + 1]
         self.read += len(whole.encode())
         lines = whole.splitlines()
         for line in lines:
             place = line.find(": shift {")
             if place >= 0 and '"log_wealth"' not in line:
-                self.turns.append((time.monotonic(), json.loads(line[place + 8:])))
+                self.turns.append((time.monotonic(), json.loads(line[place + 8 :])))
         return lines
 
     def counts(self) -> dict[str, int]:
@@ -210,10 +237,12 @@
 
     def tell(self, box: Box, state: str = "Ready") -> None:
         """Have discovery tell of a box, a little late."""
+
         def put() -> None:
             if state == "Terminating":
                 box.drain()
             self.discovery.put(box.name, box.address, state, box.started_unix_ms, kind=box.kind)
+
         if self.began:
             asyncio.get_running_loop().call_later(LATE_S, put)
         else:
@@ -238,10 +267,16 @@
         await network.start()
         for number in range(setup.gateways):
             config = {
-                "name": f"n{number}", "listen": text(listen[number]), "discovery": text(self.discovery.address),
-                "seed": f"{setup.seed * 1000 + number:x}", "limits": {"sockets": setup.sockets},
-                "peer_listen": text(mail[number]), "peers": network.peers, "peers_all": text(network.address),
-                "counter": text(self.counters[number % len(self.counters)].address), "known": self.discovery.whole(),
+                "name": f"n{number}",
+                "listen": text(listen[number]),
+                "discovery": text(self.discovery.address),
+                "seed": f"{setup.seed * 1000 + number:x}",
+                "limits": {"sockets": setup.sockets},
+                "peer_listen": text(mail[number]),
+                "peers": network.peers,
+                "peers_all": text(network.address),
+                "counter": text(self.counters[number % len(self.counters)].address),
+                "known": self.discovery.whole(),
                 "settings": settings(setup.gateways, number, setup.demand.deadline_ms, setup.speak),
             }
             self.gateways.append(GatewayProcess(number, folder, config, setup.operator, setup.program))
@@ -267,7 +302,8 @@
                         raise ended  # a run whose faults did not happen as written proves nothing
             finally:
                 codes = await asyncio.gather(
-                    *(asyncio.to_thread(gateway.end) for gateway in self.gateways if gateway.process))
+                    *(asyncio.to_thread(gateway.end) for gateway in self.gateways if gateway.process)
+                )
                 for box in self.boxes:
                     box.stop()
                 if self.network is not None:
@@ -309,8 +345,7 @@
         """Have one thing happen to one box."""
         box = self.boxes[number]
         if fault.do == "idle_limit":
-            box.set(idle_s=(fault.low_s, max(fault.low_s, fault.high_s)) if fault.low_s else None,
-                    idle_mode=fault.mode)
+            box.set(idle_s=(fault.low_s, max(fault.low_s, fault.high_s)) if fault.low_s else None, idle_mode=fault.mode)
         elif fault.do == "slow":
             box.set(slow=fault.factor)
         elif fault.do in ("refuse", "hang", "mute"):
@@ -388,13 +423,31 @@
         later = attempts - self.attempts_early
         opened = sum(box.seen.opened for box in boxes)
         return {
-            **crowd, "attempts": attempts,
-            **{name: seen.get(name, 0) for name in ("served", "refused", "failed", "unanswered", "lost", "crossed",
-                                                    "unreached", "spoilt", "late", "keys_run_twice")},
-            "upgrades": len(self.upgrades), "upgrades_wrong": [wrong for wrong in self.upgrades if wrong],
-            "broken": seen["broken"], "examples": seen["examples"], "exit_codes": codes,
+            **crowd,
+            "attempts": attempts,
+            **{
+                name: seen.get(name, 0)
+                for name in (
+                    "served",
+                    "refused",
+                    "failed",
+                    "unanswered",
+                    "lost",
+                    "crossed",
+                    "unreached",
+                    "spoilt",
+                    "late",
+                    "keys_run_twice",
+                )
+            },
+            "upgrades": len(self.upgrades),
+            "upgrades_wrong": [wrong for wrong in self.upgrades if wrong],
+            "broken": seen["broken"],
+            "examples": seen["examples"],
+            "exit_codes": codes,
             "stale_after_learning_per_1000": round(
-                1000.0 * (seen.get("stale_attempts", 0) - self.stale_early) / max(1, later), 3),
+                1000.0 * (seen.get("stale_attempts", 0) - self.stale_early) / max(1, later), 3
+            ),
             "connections_per_1000": round(1000.0 * opened / max(1, crowd["requests"]), 2),
             "gateway_counts": {name: total(name) for name in sorted({name for counts in told for name in counts})},
             # The figures that every soak ends with:
@@ -407,7 +460,8 @@
             "peak_by_box": {box.name: box.seen.peak for box in boxes},
             "cold_opened_first_s": max((box.seen.by_second[0] for box in boxes if box.started), default=0),
             "cpu_ms_per_request": round(
-                1000.0 * sum(gateway.cpu_s for gateway in self.gateways) / max(1, crowd["requests"]), 3),
+                1000.0 * sum(gateway.cpu_s for gateway in self.gateways) / max(1, crowd["requests"]), 3
+            ),
             "memory_mb": round(max((gateway.memory_mb for gateway in self.gateways), default=0.0), 1),
         }
 
--- a/petrelhall/wirehost.py
+++ b/petrelhall/wirehost.py
@@ -39,13 +39,23 @@
     """Turn one message into an event; ``values`` starts after the instance's number."""
     if name == "NewRequest":
         return api.Arrival(
-            int(values[0]), int(values[1]), int(values[2] or 0), str(values[3]), float(values[4]),
-            float(values[5] or 0), int(values[6] or 1), bool(values[8]),
+            int(values[0]),
+            int(values[1]),
+            int(values[2] or 0),
+            str(values[3]),
+            float(values[4]),
+            float(values[5] or 0),
+            int(values[6] or 1),
+            bool(values[8]),
             set_first=int(values[7] or 0),
         )
     if name == "Settled":
         return api.Outcome(
-            int(values[0]), int(values[1]), str(values[2]), ENDINGS[values[3]], float(values[4]),
+            int(values[0]),
+            int(values[1]),
+            str(values[2]),
+            ENDINGS[values[3]],
+            float(values[4]),
             bool(values[5]),
             (values[6] - 1) / 100.0 if values[6] else None,
             float(values[7]) if values[7] else None,
@@ -78,8 +88,14 @@
 def read_servers(entries: list[list[Any]]) -> tuple[api.Server, ...]:
     """Read the lines of a numbered list."""
     return tuple(
-        api.Server(str(e[0]), int(e[1] or 0), int(e[3] or 0), str(e[4]), float(1.0 if e[5] is None else e[5]),
-                   float(e[6] or 0.0))
+        api.Server(
+            str(e[0]),
+            int(e[1] or 0),
+            int(e[3] or 0),
+            str(e[4]),
+            float(1.0 if e[5] is None else e[5]),
+            float(e[6] or 0.0),
+        )
         for e in entries
     )
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -23,11 +23,27 @@
 PROFILE: dict[str, Any] = {
     "Areas": ["a"],
     "Balancers": 1,
-    "Grades": [{"Name": name, "Effect": effect, "Group": "all", "PromiseMs": 3000.0, "DeadlineMs": 6000.0,
-                "WindowMs": 5000.0, "LateWorth": 0.2} for name, effect in KINDS.items()],
+    "Grades": [
+        {
+            "Name": name,
+            "Effect": effect,
+            "Group": "all",
+            "PromiseMs": 3000.0,
+            "DeadlineMs": 6000.0,
+            "WindowMs": 5000.0,
+            "LateWorth": 0.2,
+        }
+        for name, effect in KINDS.items()
+    ],
     "Packages": [{"Name": "plan", "QuotaRate": 500.0, "Depth": 1000.0}],
-    "Limits": {"Cancel": True, "MaxAttempts": 5, "RetryAfter": True, "MaxRetryAfterMs": 1500.0,
-               "ConnIdleMs": 30000.0, "ConnectTimeoutMs": 250.0},
+    "Limits": {
+        "Cancel": True,
+        "MaxAttempts": 5,
+        "RetryAfter": True,
+        "MaxRetryAfterMs": 1500.0,
+        "ConnIdleMs": 30000.0,
+        "ConnectTimeoutMs": 250.0,
+    },
     "Report": {"Source": "piggyback", "Names": ["rif"]},
 }
 
@@ -69,8 +85,12 @@
 def ask(number: int = 1, kind: str = "view", deadline: str = "6000m", **changes: str | None) -> bytes:
     """Word a client's request; a header can be changed, or left out with None."""
     headers: dict[str, str | None] = {
-        "Host": "service", "X-Request-Id": f"{number:016x}", "X-Class": kind, "X-Contract": "plan",
-        "X-Deadline": deadline, "X-Metering": "units=1,spread=1,first=0",
+        "Host": "service",
+        "X-Request-Id": f"{number:016x}",
+        "X-Class": kind,
+        "X-Contract": "plan",
+        "X-Deadline": deadline,
+        "X-Metering": "units=1,spread=1,first=0",
     }
     headers |= {name.replace("_", "-"): value for name, value in changes.items()}
     lines = [f"{name}: {value}" for name, value in headers.items() if value is not None]
@@ -78,8 +98,16 @@
 
 
 def entry(name: str, where: str, state: str = "Ready") -> dict[str, Any]:
-    return {"id": name, "addr": where, "zone": "a", "kind": "k", "cell": 0, "state": state, "weight": 1.0,
-            "started_ms": 0}
+    return {
+        "id": name,
+        "addr": where,
+        "zone": "a",
+        "kind": "k",
+        "cell": 0,
+        "state": state,
+        "weight": 1.0,
+        "started_ms": 0,
+    }
 
 
 class Story(unittest.TestCase):
@@ -95,14 +123,19 @@
     def listener(self) -> socket.socket:
         return self.stack.enter_context(listen())
 
-    def start(self, *servers: socket.socket, sockets: int = 1024, arguments: tuple[str, ...] = (),
-              **config: Any) -> subprocess.Popen[str]:
+    def start(
+        self, *servers: socket.socket, sockets: int = 1024, arguments: tuple[str, ...] = (), **config: Any
+    ) -> subprocess.Popen[str]:
         with listen() as free:
             self.where = free.getsockname()
         listed = [entry(f"s{n}", address(server)) for n, server in enumerate(servers)]
         whole = {
-            "name": "n0", "listen": f"{self.where[0]}:{self.where[1]}", "discovery": "127.0.0.1:1",
-            "seed": "2a", "limits": {"sockets": sockets}, "settings": PROFILE,
+            "name": "n0",
+            "listen": f"{self.where[0]}:{self.where[1]}",
+            "discovery": "127.0.0.1:1",
+            "seed": "2a",
+            "limits": {"sockets": sockets},
+            "settings": PROFILE,
             "known": {"version": 1, "full": True, "servers": listed},
         } | config
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
@@ -111,8 +144,9 @@
             json.dump(whole, file)
         self.whole = whole
         command = [sys.executable, "-m", "petrelhall", *arguments]
-        self.program = subprocess.Popen(command, env={**os.environ, "EDGE_CONFIG": path}, text=True,
-                                        stderr=subprocess.PIPE)
+        self.program = subprocess.Popen(
+            command, env={**os.environ, "EDGE_CONFIG": path}, text=True, stderr=subprocess.PIPE
+        )
         self.stack.callback(self.end)
         return self.program
 
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -59,8 +59,9 @@
 
 def between(*sides: tuple[int, ...]) -> frozenset[tuple[int, int]]:
     """Give the ways that a split into sides cuts."""
-    return frozenset((one, other) for side in sides for one in side
-                     for far in sides if far is not side for other in far)
+    return frozenset(
+        (one, other) for side in sides for one in side for far in sides if far is not side for other in far
+    )
 
 
 class Rules(unittest.TestCase):
@@ -145,22 +146,29 @@
         self.assertEqual(ballot.value, b"")
         ballot.promised(1, 3, b"accepted", PACE)
         self.assertEqual(ballot.value, b"accepted")
-        numbers = {ballot_number(after, member, life) for after in (0, ballot_number(0, 4, 1))
-                   for member in (0, 4) for life in (1, 2)}
+        numbers = {
+            ballot_number(after, member, life)
+            for after in (0, ballot_number(0, 4, 1))
+            for member in (0, 4)
+            for life in (1, 2)
+        }
         self.assertEqual(len(numbers), 8)
         self.assertGreater(ballot_number(ballot_number(0, 4, 9), 0, 1), ballot_number(0, 4, 9))
-        self.assertEqual(best([Memory(1, b"a", 9), Memory(2, b"b", 3, 2, b"x"), Memory(2, b"b", 7)]),
-                         Memory(2, b"b", 7, 2, b"x"))
+        self.assertEqual(
+            best([Memory(1, b"a", 9), Memory(2, b"b", 3, 2, b"x"), Memory(2, b"b", 7)]), Memory(2, b"b", 7, 2, b"x")
+        )
 
     def test_words_fit_for_a_thousand_members_and_junk_is_told_apart(self) -> None:
         everyone, digest = words.bitmap(set(range(1000))), bytes(16)
         big = 2**62
-        for word in (words.Grant(big, big, big, 2, 99999, 99999, digest, everyone),
-                     words.Opinion(big, big, 99999, digest, 2, "x" * words.REASON, True, everyone),
-                     words.Decided(big, ((99999, digest),) * words.HISTORY),
-                     words.Check(big, 99999, digest, digest, bytes(DATA)),
-                     words.Piece(big, digest, 500, MOST_BYTES, bytes(DATA)),
-                     words.State(big, big, big, True, 99999, digest, big, big, digest, (2**31,) * 15)):
+        for word in (
+            words.Grant(big, big, big, 2, 99999, 99999, digest, everyone),
+            words.Opinion(big, big, 99999, digest, 2, "x" * words.REASON, True, everyone),
+            words.Decided(big, ((99999, digest),) * words.HISTORY),
+            words.Check(big, 99999, digest, digest, bytes(DATA)),
+            words.Piece(big, digest, 500, MOST_BYTES, bytes(DATA)),
+            words.State(big, big, big, True, 99999, digest, big, big, digest, (2**31,) * 15),
+        ):
             content = words.encode(word, 1000, 7)
             self.assertLessEqual(len(content), words.MOST, type(word).__name__)
             self.assertEqual(words.decode(content, 1000, 7), word)
@@ -217,8 +225,10 @@
 
     def versions(self, world: World) -> list[int]:
         """Give the version that each gateway may serve now, -1 for none."""
-        return [core.serving[0] if core.serving and core.allowed(world.clock(number)) else -1
-                for number, core in sorted(world.cores.items())]
+        return [
+            core.serving[0] if core.serving and core.allowed(world.clock(number)) else -1
+            for number, core in sorted(world.cores.items())
+        ]
 
     def test_with_all_up_a_change_is_in_force_everywhere_in_a_moment(self) -> None:
         world = self.world(FIVE)
@@ -301,10 +311,12 @@
                     world = self.world(FIVE)
                     cut: list[bool] = []
 
-                    def begin(at: World, sender: int, sent: Any, word: Any = word, cut: list[bool] = cut,
-                              sides: Any = sides) -> bool:
+                    def begin(
+                        at: World, sender: int, sent: Any, word: Any = word, cut: list[bool] = cut, sides: Any = sides
+                    ) -> bool:
                         cut += [True] * (isinstance(sent, word) and not cut)
                         return not cut or any(sender in side for side in sides)
+
                     world.before_send = begin
                     self.propose(world, proposer, b"one")
                     split = Turn("split", cut=between(*sides), steps=60)
@@ -418,7 +430,9 @@
         said: list[tuple[int, int, bytes]] = []
         carry = world.give
         world.give = lambda receiver, sender, content, turn: (  # type: ignore[method-assign]
-            said.append((receiver, sender, content)), carry(receiver, sender, content, turn))[1]
+            said.append((receiver, sender, content)),
+            carry(receiver, sender, content, turn),
+        )[1]
         self.propose(world, 0, b"one")
         world.take(CALM)
         self.propose(world, 0, b"two")
@@ -513,10 +527,10 @@
                 for action in found:
                     if isinstance(action, Keep):
                         order.append(f"{core.number} kept {action.memory.accepted > 0}")
-                    elif isinstance(action, Send) and isinstance(
-                            words.decode(action.content, 3, 3), words.Accepted):
+                    elif isinstance(action, Send) and isinstance(words.decode(action.content, 3, 3), words.Accepted):
                         order.append(f"{core.number} voted")
                 return found
+
             core.handle = watched  # type: ignore[method-assign]
             self.assertEqual(number, core.number)
         self.propose(world, 0, b"one")
@@ -546,6 +560,7 @@
                 (at.dead if do == "kill" else at.still).update(some)
                 return after or sender not in some
             return True
+
         world.before_send = hook
         self.propose(world, 0, b"one")
         world.take(Turn("well", steps=24))
@@ -685,8 +700,11 @@
     def go_on(self) -> None:
         self.world.still.clear()
 
-    @rule(steps=st.integers(1, 40), carry=st.sampled_from(["well", "odd", "late", "twice", "lost"]),
-          side=st.sets(st.integers(0, 4), max_size=2))
+    @rule(
+        steps=st.integers(1, 40),
+        carry=st.sampled_from(["well", "odd", "late", "twice", "lost"]),
+        side=st.sets(st.integers(0, 4), max_size=2),
+    )
     def pass_time(self, steps: int, carry: str, side: set[int]) -> None:
         rest = tuple(number for number in range(5) if number not in side)
         self.world.take(Turn("", carry, between(tuple(side), rest) if side else frozenset(), steps=steps))
@@ -708,9 +726,17 @@
     """Hypothesis at five gateways."""
 
     def test_five_gateways_struck_at_random(self) -> None:
-        run_state_machine_as_test(Machine, settings=settings(
-            max_examples=25, stateful_step_count=15, deadline=None, derandomize=True,
-            phases=(Phase.generate,), suppress_health_check=list(HealthCheck)))
+        run_state_machine_as_test(
+            Machine,
+            settings=settings(
+                max_examples=25,
+                stateful_step_count=15,
+                deadline=None,
+                derandomize=True,
+                phases=(Phase.generate,),
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
 
 
 class Judged(unittest.TestCase):
@@ -719,8 +745,14 @@
     def test_each_kind_of_wrong_is_seen_and_nothing_else(self) -> None:
         def record(*admitted: Admitted, claims: tuple[Claim, ...] = ()) -> Record:
             return Record(1.0, list(admitted), list(claims))
-        well = (Admitted(0.0, 0, 1, "a"), Admitted(5.0, 1, 2, "b", either=True), Admitted(6.0, 1, 1, "a"),
-                Admitted(9.0, 0, 2, "b"), Admitted(9.5, 1, 1, "a"))
+
+        well = (
+            Admitted(0.0, 0, 1, "a"),
+            Admitted(5.0, 1, 2, "b", either=True),
+            Admitted(6.0, 1, 1, "a"),
+            Admitted(9.0, 0, 2, "b"),
+            Admitted(9.5, 1, 1, "a"),
+        )
         verdict = record(*well, claims=(Claim(9.0, 2, "b", "in force"), Claim(9.0, 3, "c", "nowhere"))).judge()
         self.assertEqual((verdict.mixed, verdict.lost_changes, verdict.wrong_answers), (0, 0, 0))
         self.assertEqual(record(*well, Admitted(11.0, 2, 1, "a")).judge().mixed, 1)
@@ -755,8 +787,15 @@
     """What a voter keeps, and that one process of a member votes at a time."""
 
     def part(self, folder: str, number: int = 1) -> Any:
-        return SimpleNamespace(place=folder, name="n1", number=number, settings=Accorded(folder=folder), lock=None,
-                               path=os.path.join(folder, f"policy-{number}"), log=lambda text: None)
+        return SimpleNamespace(
+            place=folder,
+            name="n1",
+            number=number,
+            settings=Accorded(folder=folder),
+            lock=None,
+            path=os.path.join(folder, f"policy-{number}"),
+            log=lambda text: None,
+        )
 
     def test_a_second_process_votes_only_once_the_first_has_let_go(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
@@ -798,6 +837,7 @@
                 desk.give(order)
                 if meanwhile is not None:
                     meanwhile()
+
         desk.tell = tell
 
         class Stays:
@@ -806,6 +846,7 @@
         def task() -> Any:
             ended.append((yield from desk.serve(Request(0, 0, "c", 400.0, 1.0, 1, False, None), Stays())))
             loop.stop()
+
         loop.spawn(task())
         loop.run()
         return ended[0], told
@@ -909,8 +950,11 @@
     def test_calls_in_bad_form_and_gateways_where_it_is_off_are_told(self) -> None:
         self.assertEqual(read_call(b"POST", b"/control/policy?base=3"), Call(policy=Policy("propose", 3)))
         self.assertEqual(read_call(b"POST", b"/control/policy/settle"), Call(policy=Policy("settle")))
-        for target, status in ((b"/control/policy", 400), (b"/control/policy/abort?digest=x", 400),
-                               (b"/control/policy/other", 404)):
+        for target, status in (
+            (b"/control/policy", 400),
+            (b"/control/policy/abort?digest=x", 400),
+            (b"/control/policy/other", 404),
+        ):
             self.assertEqual(getattr(read_call(b"POST", target), "status", None), status, target)
         self.assertEqual(getattr(read_call(b"PUT", b"/control/policy"), "status", None), 405)
 
@@ -929,23 +973,27 @@
     def test_contradictions_are_named_by_field_value_and_reason(self) -> None:
         self.assertEqual(self.refused({"plans": {"district": {"rate": 50.0, "burst": 70.0}}}), "")
         for value, words_ in (
-                ({"plans": {"nobody": {}}}, "plans.nobody: no such plan"),
-                ({"plans": {"district": {"burst": 0.5}}}, "plans.district.burst: 0.5"),
-                ({"plans": {"large-district": {"ceiling_rate": 10.0}}}, "plans.large-district.ceiling_rate: 10"),
-                ({"plans": {"large-district": {"ceiling_burst": 0.1}}}, "ceiling_burst: 0.1"),
-                ({"classes": {"none": {"deadline_ms": 9.0}}}, "classes.none: no such class"),
-                ({"classes": {"view-schedule": {"deadline_ms": 9.0}}}, "classes.view-schedule.deadline_ms: 9"),
-                ({"move": {"name": "m", "source": "a", "target": "b"}}, "move: this gateway's file has no pools")):
+            ({"plans": {"nobody": {}}}, "plans.nobody: no such plan"),
+            ({"plans": {"district": {"burst": 0.5}}}, "plans.district.burst: 0.5"),
+            ({"plans": {"large-district": {"ceiling_rate": 10.0}}}, "plans.large-district.ceiling_rate: 10"),
+            ({"plans": {"large-district": {"ceiling_burst": 0.1}}}, "ceiling_burst: 0.1"),
+            ({"classes": {"none": {"deadline_ms": 9.0}}}, "classes.none: no such class"),
+            ({"classes": {"view-schedule": {"deadline_ms": 9.0}}}, "classes.view-schedule.deadline_ms: 9"),
+            ({"move": {"name": "m", "source": "a", "target": "b"}}, "move: this gateway's file has no pools"),
+        ):
             self.assertIn(words_, self.refused(value))
         with self.assertRaisesRegex(OperatorError, r"plans\[...\].rat: unknown; did you mean 'rate'"):
             shared_of(b'{"plans": {"district": {"rat": 1}}}')
-        self.assertEqual(encode_shared(shared_of(b'{"plans": {"b": {"rate": 2.0}, "a": {}}, "classes": {}}')),
-                         encode_shared(shared_of(b'{"plans": {"a": {}, "b": {"rate": 2.0}}}')))
+        self.assertEqual(
+            encode_shared(shared_of(b'{"plans": {"b": {"rate": 2.0}, "a": {}}, "classes": {}}')),
+            encode_shared(shared_of(b'{"plans": {"a": {}, "b": {"rate": 2.0}}}')),
+        )
 
     def test_the_stricter_of_two_keeps_within_both_and_a_move_holds_where_they_differ(self) -> None:
         one = plans_of(shared_of(b'{"plans": {"district": {"rate": 50, "burst": 30}}}'), self.settings, self.names[0])
-        other = plans_of(shared_of(b'{"plans": {"district": {"rate": 20, "max_open": 3}}}'), self.settings,
-                         self.names[0])
+        other = plans_of(
+            shared_of(b'{"plans": {"district": {"rate": 20, "max_open": 3}}}'), self.settings, self.names[0]
+        )
         least = strictest(one, other)[0]
         self.assertEqual((least.rate, least.burst, least.max_open), (20.0, 30.0, 3))
         pools = (Pool("a", kind="m1"), Pool("b", kind="m2"))
@@ -953,8 +1001,12 @@
         moved = Shared(move=Move("m", "a", "b"))
         self.assertEqual(shift_of(moved, None, file).move.order, "run")  # type: ignore[union-attr]
         self.assertEqual(shift_of(moved, Shared(), file).move.order, "pause")  # type: ignore[union-attr]
-        self.assertEqual(deadlines_of(shared_of(b'{"classes": {"view-schedule": {"deadline_ms": 900}}}'), self.settings,
-                                      self.names[1]), (900.0, 1500.0))
+        self.assertEqual(
+            deadlines_of(
+                shared_of(b'{"classes": {"view-schedule": {"deadline_ms": 900}}}'), self.settings, self.names[1]
+            ),
+            (900.0, 1500.0),
+        )
 
     def test_a_smaller_burst_cuts_a_store_and_a_larger_one_never_refills_it(self) -> None:
         module = Gateway(self.settings, 1)
@@ -976,10 +1028,14 @@
             self.assertEqual(share.available(0.0), left)
 
 
-PLAY = Play(strikes=(
-    Strike(4.0, "kill", (1,), 1.0), Strike(7.0, "cut", (2, 3), 3.0, (0, 1, 4)), Strike(8.0, "stop", (0,), 3.0),
-    Strike(13.0, "upgrade", (4,)),
-))
+PLAY = Play(
+    strikes=(
+        Strike(4.0, "kill", (1,), 1.0),
+        Strike(7.0, "cut", (2, 3), 3.0, (0, 1, 4)),
+        Strike(8.0, "stop", (0,), 3.0),
+        Strike(13.0, "upgrade", (4,)),
+    )
+)
 
 
 class Real(unittest.TestCase):
@@ -991,17 +1047,44 @@
                 script, out = os.path.join(folder, "script.json"), os.path.join(folder, "out.json")
                 with open(script, "wb") as file:
                     file.write(msgspec.json.encode(PLAY))
-                result = CliRunner().invoke(main, ["drill", "policy", "--seconds", "20", "--script", script, "--unsure",
-                                                   unsure, "--no-folder", "--json", out])
+                result = CliRunner().invoke(
+                    main,
+                    [
+                        "drill",
+                        "policy",
+                        "--seconds",
+                        "20",
+                        "--script",
+                        script,
+                        "--unsure",
+                        unsure,
+                        "--no-folder",
+                        "--json",
+                        out,
+                    ],
+                )
                 self.assertEqual(result.exit_code, 0, result.output)
                 with open(out) as file:
                     figures = json.load(file)
             self.assertGreaterEqual(figures["in_force"], 2)
             self.assertGreater(figures["admitted"], 300)
             self.assertEqual([figures[name] for name in ("mixed", "lost_changes", "unknown_at_end", "lost")], [0] * 4)
-            self.assertEqual(list(figures)[-11:], [
-                "changes", "in_force", "nowhere", "unknown_at_end", "mixed", "lost_changes", "slowest_in_force_s",
-                "slowest_refusal_s", "requests", "refused_unsure", "lost"])
+            self.assertEqual(
+                list(figures)[-11:],
+                [
+                    "changes",
+                    "in_force",
+                    "nowhere",
+                    "unknown_at_end",
+                    "mixed",
+                    "lost_changes",
+                    "slowest_in_force_s",
+                    "slowest_refusal_s",
+                    "requests",
+                    "refused_unsure",
+                    "lost",
+                ],
+            )
 
 
 if __name__ == "__main__":
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -96,7 +96,7 @@
         whole = b""
         while body:
             size, _, body = body.partition(b"\r\n")
-            whole, body = whole + body[:int(size, 16)], body[int(size, 16) + 2:]
+            whole, body = whole + body[: int(size, 16)], body[int(size, 16) + 2 :]
         return head, whole
 
     def test_three_megabytes_pass_unchanged_with_their_length(self) -> None:
@@ -170,7 +170,7 @@
         client = self.client(post(None, Expect="100-continue"))
         client.settimeout(PATIENCE_S)
         self.assertTrue(client.recv(64).startswith(b"HTTP/1.1 100"))
-        pieces = b"".join(chunk(body[at:at + 50000]) for at in range(0, len(body), 50000))
+        pieces = b"".join(chunk(body[at : at + 50000]) for at in range(0, len(body), 50000))
         with self.beside(lambda: client.sendall(pieces + b"0\r\nX-Sum: 1\r\n\r\n")):
             at_server = self.accept(server)
             _, came = self.read_body(at_server)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -49,8 +49,13 @@
         self.assertFalse(bans.merge(decode(Bans("n0").encode(), "n0")))  # an empty file ends no ban
 
     def test_a_spoilt_or_foreign_file_is_refused(self) -> None:
-        for data in (b"{", b"[]", b'{"form":2,"gateway":"n0","servers":{}}',
-                     b'{"form":1,"gateway":"n9","servers":{}}', b'{"form":1,"gateway":"n0","servers":{"s":[1]}}'):
+        for data in (
+            b"{",
+            b"[]",
+            b'{"form":2,"gateway":"n0","servers":{}}',
+            b'{"form":1,"gateway":"n9","servers":{}}',
+            b'{"form":1,"gateway":"n0","servers":{"s":[1]}}',
+        ):
             with self.assertRaises(BansError, msg=data):
                 decode(data, "n0")
 
@@ -104,8 +109,12 @@
         silent = [self.stack.enter_context(socket.create_connection(self.mgmt, PATIENCE_S)) for _ in range(40)]
         for sock in silent[::2]:
             sock.sendall(b"POST /control/serv")
-        for method, path, status in (("GET", "/control/ready", 200), ("POST", "/control/servers/nobody/offline", 404),
-                                     ("DELETE", "/control/ready", 405), ("GET", "/elsewhere", 404)):
+        for method, path, status in (
+            ("GET", "/control/ready", 200),
+            ("POST", "/control/servers/nobody/offline", 404),
+            ("DELETE", "/control/ready", 405),
+            ("GET", "/elsewhere", 404),
+        ):
             began = time.monotonic()
             self.assertEqual(call(self.mgmt, method, path), status)
             self.assertLess(time.monotonic() - began, 1.0)
@@ -160,4 +169,3 @@
 
 def address_of(where: tuple[str, int]) -> str:
     return f"{where[0]}:{where[1]}"
-
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -25,10 +25,15 @@
 from petrelhall.standins.world import settings as platform
 from tests.peers import PATIENCE_S, Story, address
 
-FAULTS = Play(strikes=(
-    Strike(4.0, "kill", (1,), 6.0), Strike(4.0, "cut", (2,), 1.2, (3,), True),
-    Strike(5.5, "flap", (0,), 2.0, (3,)), Strike(11.0, "stop", (3,), 1.5), Strike(11.2, "upgrade", (0,)),
-))
+FAULTS = Play(
+    strikes=(
+        Strike(4.0, "kill", (1,), 6.0),
+        Strike(4.0, "cut", (2,), 1.2, (3,), True),
+        Strike(5.5, "flap", (0,), 2.0, (3,)),
+        Strike(11.0, "stop", (3,), 1.5),
+        Strike(11.2, "upgrade", (0,)),
+    )
+)
 
 
 class Members(unittest.TestCase):
@@ -39,19 +44,50 @@
             script, out = os.path.join(folder, "script.json"), os.path.join(folder, "out.json")
             with open(script, "wb") as file:
                 file.write(msgspec.json.encode(FAULTS))
-            result = CliRunner().invoke(main, ["drill", "members", "--gateways", "5", "--seconds", "20", "--rate", "30",
-                                               "--boxes", "2", "--script", script, "--json", out])
+            result = CliRunner().invoke(
+                main,
+                [
+                    "drill",
+                    "members",
+                    "--gateways",
+                    "5",
+                    "--seconds",
+                    "20",
+                    "--rate",
+                    "30",
+                    "--boxes",
+                    "2",
+                    "--script",
+                    script,
+                    "--json",
+                    out,
+                ],
+            )
             self.assertEqual(result.exit_code, 0, result.output)
             with open(out) as file:
                 figures = json.load(file)
         self.assertGreaterEqual(figures["failures"], 3)
         self.assertEqual(figures["found"], figures["failures"])
-        self.assertEqual([figures[name] for name in ("wrongly_failed", "dead_lives_back", "views_differ_at_end",
-                                                     "lost")],
-                         [0, 0, 0, 0])
-        self.assertEqual(list(figures)[-11:], [
-            "faults", "failures", "found", "slowest_found_s", "wrongly_failed", "slowest_healed_s", "dead_lives_back",
-            "views_differ_at_end", "requests", "lost", "words_per_s_each"])
+        self.assertEqual(
+            [figures[name] for name in ("wrongly_failed", "dead_lives_back", "views_differ_at_end", "lost")],
+            [0, 0, 0, 0],
+        )
+        self.assertEqual(
+            list(figures)[-11:],
+            [
+                "faults",
+                "failures",
+                "found",
+                "slowest_found_s",
+                "wrongly_failed",
+                "slowest_healed_s",
+                "dead_lives_back",
+                "views_differ_at_end",
+                "requests",
+                "lost",
+                "words_per_s_each",
+            ],
+        )
 
     def test_a_script_that_names_a_gateway_too_many_is_refused_and_drawn_ones_leave_time_to_heal(self) -> None:
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
@@ -97,6 +133,7 @@
             self.assertEqual([len(got[0]), len(got[1]), len(got[2])], [3, 1, 2])  # 1 twice and 2 once; 2; 0 and 1
             self.assertEqual(sorted(word == b"word" for word in got[2]), [False, True])
             self.assertEqual((network.seen["cut"], network.seen["lost"]), (1, 3))
+
         asyncio.run(play())
 
 
@@ -114,8 +151,15 @@
         json.dump({"members": {"on": True}}, operator)
         operator.flush()
         server = self.listener()
-        self.start(server, arguments=("--operator", operator.name), mgmt=mgmt, peer_listen=own,
-                   peers=[own, "127.0.0.1:9"], peers_all="127.0.0.1:9", settings={**platform(2, 0, 1500.0), **profile})
+        self.start(
+            server,
+            arguments=("--operator", operator.name),
+            mgmt=mgmt,
+            peer_listen=own,
+            peers=[own, "127.0.0.1:9"],
+            peers_all="127.0.0.1:9",
+            settings={**platform(2, 0, 1500.0), **profile},
+        )
         yield mgmt
 
     def test_the_view_is_given_as_stated_and_the_command_line_shows_it(self) -> None:
@@ -155,18 +199,23 @@
             self.assertIn("members is off there", result.output)
 
     def test_a_gateway_without_it_loads_nothing_of_it(self) -> None:
-        code = ("import sys, petrelhall.gateway.program; "
-                "sys.exit(any(name.startswith(('petrelhall.members.core', 'petrelhall.gateway.membership')) "
-                "for name in sys.modules))")
+        code = (
+            "import sys, petrelhall.gateway.program; "
+            "sys.exit(any(name.startswith(('petrelhall.members.core', 'petrelhall.gateway.membership')) "
+            "for name in sys.modules))"
+        )
         self.assertEqual(subprocess.run([sys.executable, "-c", code]).returncode, 0)
 
     def test_views_that_differ_are_named_by_member_and_by_gateway(self) -> None:
         from petrelhall.members.compare import clusters, disagreements
 
         def view(own: int, state: str, life: int = 5) -> dict[str, Any]:
-            rows = [{"number": n, "state": "here" if n != 2 else state, "life": life if n == 2 else n + 1,
-                     "trusted": True} for n in range(3)]
+            rows = [
+                {"number": n, "state": "here" if n != 2 else state, "life": life if n == 2 else n + 1, "trusted": True}
+                for n in range(3)
+            ]
             return {"self": own, "members": rows, "digest": f"{state}{life}"}
+
         self.assertEqual(disagreements([view(0, "here"), view(1, "here")]), [])
         found = disagreements([view(0, "failed"), view(1, "here"), view(2, "here", 6)])
         self.assertEqual([(one.number, one.one, one.other) for one in found], [(2, 0, 1), (2, 0, 2), (2, 1, 2)])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -108,12 +108,14 @@
         client = self.client()
         chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
         spoilt = (
-            b"\x00noise\r\n\r\n", b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nno",
+            b"\x00noise\r\n\r\n",
+            b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nno",
             b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppppppp\r\n" * 4000,
             b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 2\r\n\r\nno",
             b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nno",
             b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nnon",
-            chunked + b"\r\n2\r\nno\r\nzz\r\n", chunked + b"Content-Length: 2\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+            chunked + b"\r\n2\r\nno\r\nzz\r\n",
+            chunked + b"Content-Length: 2\r\n\r\n2\r\nno\r\n0\r\n\r\n",
             b"HTTP/1.1 100 Continue\r\n\r\n" * 30,
         )
         for number, answer in enumerate(spoilt):
@@ -242,16 +244,24 @@
         server = self.listener()
         self.start(server)
         for status, data in (
-            (400, b"nonsense\r\n\r\n"), (400, ask(kind="unknown")), (400, ask(X_Contract=None)),
-            (400, ask(deadline="soon")), (400, ask(deadline="0m")), (400, ask(X_Metering=None)),
-            (400, ask(X_Metering="units=1,spread=9,first=0")), (400, ask(X_Request_Id=None)),
+            (400, b"nonsense\r\n\r\n"),
+            (400, ask(kind="unknown")),
+            (400, ask(X_Contract=None)),
+            (400, ask(deadline="soon")),
+            (400, ask(deadline="0m")),
+            (400, ask(X_Metering=None)),
+            (400, ask(X_Metering="units=1,spread=9,first=0")),
+            (400, ask(X_Request_Id=None)),
             (400, ask(Content_Length="3", Transfer_Encoding="chunked") + b"0\r\n\r\n"),
-            (400, ask(X_Metering="units=1_0,spread=1,first=0")), (400, ask(x_class="change")),
+            (400, ask(X_Metering="units=1_0,spread=1,first=0")),
+            (400, ask(x_class="change")),
             (400, ask(X_Metering="units=nan,spread=1,first=0")),
             (400, ask(X_Metering="units=1,units=1,spread=1,first=0")),
-            (400, ask().replace(b"GET", b"POST", 1)), (400, ask(Content_Length="1") + b"x"),
+            (400, ask().replace(b"GET", b"POST", 1)),
+            (400, ask(Content_Length="1") + b"x"),
             (400, ask().replace(b"HTTP/1.1", b"HTTP/2.0", 1)),
-            (400, ask(kind="change")), (400, ask().replace(b"client=0000", b"client=zzzz")),
+            (400, ask(kind="change")),
+            (400, ask().replace(b"client=0000", b"client=zzzz")),
             (404, ask().replace(b"/api", b"/elsewhere")),
             (413, ask(kind="change", Idempotency_Key="k", Content_Length="60000000") + b"x" * 66000),
             (400, ask(Content_Length="70000") + b"x" * 66000),
@@ -310,7 +320,7 @@
         read_message(at_server)
         at_server.sendall(reply(large))
         self.assertTrue(read_message(client).endswith(b"\r\n\r\n" + large))
-        chunked = b"".join(b"%x\r\n%s\r\n" % (65536, large[i:i + 65536]) for i in range(0, 1 << 20, 65536))
+        chunked = b"".join(b"%x\r\n%s\r\n" % (65536, large[i : i + 65536]) for i in range(0, 1 << 20, 65536))
         client.sendall(ask(2))
         read_message(at_server)  # on the same connection: the first answer left it clean
         at_server.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked + b"0\r\n\r\n")
@@ -320,7 +330,7 @@
         rest, body = data.partition(b"\r\n\r\n")[2], b""
         while rest != b"0\r\n\r\n":  # pieces of any size: what counts is what they hold
             size, _, rest = rest.partition(b"\r\n")
-            body, rest = body + rest[:int(size, 16)], rest[int(size, 16) + 2:]
+            body, rest = body + rest[: int(size, 16)], rest[int(size, 16) + 2 :]
         self.assertEqual(body, large[: 1 << 20])
 
     def test_a_client_that_leaves_before_a_large_answer_ends_its_server_connection(self) -> None:
@@ -348,7 +358,7 @@
         client.sendall(head[40:])
         for start in range(0, len(body), 8000):
             time.sleep(0.125)  # 64 kB a second
-            client.sendall(body[start:start + 8000])
+            client.sendall(body[start : start + 8000])
         at_server = self.accept(server)
         self.assertTrue(read_message(at_server).endswith(body))
         at_server.sendall(reply(b"taken"))
@@ -411,8 +421,11 @@
         self.assertIn("connections.from_clients=1", next(line for line in lines if "counts" in line))
 
     def test_a_bad_configuration_is_one_line_that_names_the_field(self) -> None:
-        for field, change in (("config.listen", {"listen": "nowhere"}), ("settings.Grades", {"settings": {}}),
-                              ("config.known", {"known": {"servers": [3]}})):
+        for field, change in (
+            ("config.listen", {"listen": "nowhere"}),
+            ("settings.Grades", {"settings": {}}),
+            ("config.known", {"known": {"servers": [3]}}),
+        ):
             with self.subTest(field=field):
                 program = self.start(**change)
                 _, errors = program.communicate(timeout=PATIENCE_S)
@@ -422,8 +435,11 @@
 
     def test_settings_name_the_field_that_is_wrong(self) -> None:
         grade: dict[str, Any] = PROFILE["Grades"][0]
-        for field, change in (("Grades[0].DeadlineMs", {"Grades": [grade | {"DeadlineMs": "long"}]}),
-                              ("Limits.Cancel", {"Limits": {"Cancel": 1}}), ("Rules", {"Rules": []})):
+        for field, change in (
+            ("Grades[0].DeadlineMs", {"Grades": [grade | {"DeadlineMs": "long"}]}),
+            ("Limits.Cancel", {"Limits": {"Cancel": 1}}),
+            ("Rules", {"Rules": []}),
+        ):
             with self.subTest(field=field), self.assertRaises(SettingsError) as caught:
                 read_settings(PROFILE | change)
             self.assertIn(f"settings.{field}", str(caught.exception))
@@ -581,8 +597,10 @@
             self.loop.turn()
 
     def test_an_attempt_that_still_connects_when_its_server_drains_is_not_written(self) -> None:
-        with socket.create_server(("127.0.0.1", 0), backlog=0) as server, \
-                socket.create_connection(server.getsockname()):  # its queue is full: connecting takes long
+        with (
+            socket.create_server(("127.0.0.1", 0), backlog=0) as server,
+            socket.create_connection(server.getsockname()),
+        ):  # its queue is full: connecting takes long
             fleet = Fleet(("a",))
             fleet.take({"version": 1, "full": True, "servers": [entry("s0", address(server))]})
             platform = Platform(read_settings(PROFILE), ("view", "change"), ("plan",))
@@ -644,10 +662,16 @@
     def test_a_customers_set_and_the_price_of_a_handshake_reach_the_module(self) -> None:
         settings = read_settings(PROFILE | {"Balancers": 9, "Charges": {"Handshake": 0.08}})
         self.assertEqual(settings.handshake_price, 0.08)
-        headers = {b"x-class": b"view", b"x-contract": b"plan", b"x-request-id": b"1", b"x-deadline": b"900m",
-                   b"x-metering": b"units=1,spread=3,first=7"}
+        headers = {
+            b"x-class": b"view",
+            b"x-contract": b"plan",
+            b"x-request-id": b"1",
+            b"x-deadline": b"900m",
+            b"x-metering": b"units=1,spread=3,first=7",
+        }
         request = Platform(settings, ("view", "change"), ("plan",)).request(
-            Message(b"GET", b"/api?client=00000000b4d65521", headers, b""))
+            Message(b"GET", b"/api?client=00000000b4d65521", headers, b"")
+        )
         assert isinstance(request, Request)
         told: list[Any] = []
         desk = Desk(self.loop, told.append, None, self.counts, 700.0)  # type: ignore[arg-type]
@@ -693,8 +717,9 @@
     def test_counter_calls_late_busy_broken_or_never_written_each_end_once(self) -> None:
         told: list[tuple[int, Ending, float]] = []
         with listen() as server:
-            counter = CounterClient(self.loop, server.getsockname(), 60.0,
-                                    lambda r: told.append((r.name, r.ending, r.total)), self.counts)
+            counter = CounterClient(
+                self.loop, server.getsockname(), 60.0, lambda r: told.append((r.name, r.ending, r.total)), self.counts
+            )
             counter.add(1, -2.5, 4000.0)
             counter.add(2, 1e-5, 99999.0)
             self.turn_until(lambda: len(told) == 2)  # no answer in time
@@ -738,8 +763,7 @@
         own, peer, stranger = udp
         where = own.getsockname()
         own.close()
-        peers = Peers(self.loop, where, (where, peer.getsockname()), peer.getsockname(), 0, told.append,
-                      self.counts)
+        peers = Peers(self.loop, where, (where, peer.getsockname()), peer.getsockname(), 0, told.append, self.counts)
         self.addCleanup(peers.sock.close)
         for sock, data in ((stranger, b"junk"), (peer, b"x" * 257), (peer, b"use")):
             sock.sendto(data, where)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -28,8 +28,9 @@
 def told(door: Door) -> Any:
     """Take a snapshot, and carry it as a file does."""
     gateway = door.gateway
-    taken = snapshot.take(gateway, gateway.settings, [gateway.latency[kind] for kind in gateway.settings.classes],
-                          gateway.faults)
+    taken = snapshot.take(
+        gateway, gateway.settings, [gateway.latency[kind] for kind in gateway.settings.classes], gateway.faults
+    )
     return handed(letter(7, taken), 7)
 
 
@@ -77,12 +78,21 @@
 
     def test_what_is_spoilt_or_of_other_settings_is_refused_whole(self) -> None:
         good = told(self.worn())
-        cases: list[Any] = [None, [], "x", {}, {**good, "form": 2}, {**good, "settings": 1}, {**good, "latency": [1.0]},
-                            {**good, "customers": {"a": [9] + good["customers"]["a"][1:]}},
-                            {**good, "customers": {"a": [-1] + good["customers"]["a"][1:]}},
-                            {**good, "customers": {"a": good["customers"]["a"][:5]}},
-                            {**good, "links": {"s0": ["x"]}}, {**good, "waits": 3},
-                            {**good, "memory": [True] * len(snapshot.MEMORY)}]
+        cases: list[Any] = [
+            None,
+            [],
+            "x",
+            {},
+            {**good, "form": 2},
+            {**good, "settings": 1},
+            {**good, "latency": [1.0]},
+            {**good, "customers": {"a": [9] + good["customers"]["a"][1:]}},
+            {**good, "customers": {"a": [-1] + good["customers"]["a"][1:]}},
+            {**good, "customers": {"a": good["customers"]["a"][:5]}},
+            {**good, "links": {"s0": ["x"]}},
+            {**good, "waits": 3},
+            {**good, "memory": [True] * len(snapshot.MEMORY)},
+        ]
         for data in cases:
             new = Door(PEERS)
             before = repr(vars(new.gateway)["customers"]), new.gateway.started
@@ -95,7 +105,7 @@
         text = ujson.dumps(told(self.worn()))
         for _ in range(300):
             at = dice.randrange(len(text))
-            spoilt = text[:at] + dice.choice('0"{}[],n-e9') + text[at + 1:]
+            spoilt = text[:at] + dice.choice('0"{}[],n-e9') + text[at + 1 :]
             try:
                 data = json.loads(spoilt)
                 new = Door(PEERS)
@@ -134,7 +144,7 @@
     def test_where_nobody_serves_nothing_is_waited_for(self) -> None:
         self.assertIsNone(self.side(10, 1.0).join())
         dead = self.side(os.getpid(), 1.0)
-        dead.write(dead.ready_path, mark(2 ** 22 - 3, 1.0))  # a pid that nobody has
+        dead.write(dead.ready_path, mark(2**22 - 3, 1.0))  # a pid that nobody has
         self.assertIsNone(dead.join())
         self.assertFalse(os.path.exists(dead.joins_path))
         self.assertEqual(self.notes, [])
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -24,8 +24,14 @@
             (tests / "test_it.py").write_text(TESTS)
             Path(folder, "pytest.ini").write_text("[pytest]\n")
             Path(folder, "KNOWN-RED.txt").write_text(known)
-            done = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "tests"], cwd=folder,
-                                  env=os.environ, capture_output=True, text=True, timeout=60)
+            done = subprocess.run(
+                [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "tests"],
+                cwd=folder,
+                env=os.environ,
+                capture_output=True,
+                text=True,
+                timeout=60,
+            )
             return done.returncode, done.stdout + done.stderr
 
     def test_a_named_test_that_fails_is_passed_over_and_printed(self) -> None:
@@ -44,11 +50,13 @@
         self.assertEqual(self.play("")[0], 1)
 
     def test_lines_that_name_no_test_have_no_cause_or_are_too_many_are_errors(self) -> None:
-        for known, word in (("tests/test_it.py::test_none: gone, issue 1\n", "no such test"),
-                            ("tests/test_other.py::test_bad: gone, issue 1\n", "no such test"),
-                            ("tests/test_it.py::test_bad\n", "a line is"),
-                            ("".join(f"tests/test_it.py::test_{n}: many, issue 1\n" for n in range(4)), "at most"),
-                            ("tests/test_it.py::test_bad: twice, issue 1\n" * 2, "each test once")):
+        for known, word in (
+            ("tests/test_it.py::test_none: gone, issue 1\n", "no such test"),
+            ("tests/test_other.py::test_bad: gone, issue 1\n", "no such test"),
+            ("tests/test_it.py::test_bad\n", "a line is"),
+            ("".join(f"tests/test_it.py::test_{n}: many, issue 1\n" for n in range(4)), "at most"),
+            ("tests/test_it.py::test_bad: twice, issue 1\n" * 2, "each test once"),
+        ):
             with self.subTest(known=known):
                 code, said = self.play(known)
                 self.assertEqual(code, 4, said)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -27,8 +27,9 @@
                 self.assertEqual(age_class(lower_edge(number) - 1e-3), number - 1)
         self.assertEqual(age_class(1e12), CLASSES - 1)
 
-    def play(self, limit_of: object, seconds: float, life: Survival, start: float = T0, mean: float = 300.0,
-             seed: int = 1) -> tuple[int, int]:
+    def play(
+        self, limit_of: object, seconds: float, life: Survival, start: float = T0, mean: float = 300.0, seed: int = 1
+    ) -> tuple[int, int]:
         """Use connections at random idle times wherever the estimate allows it; give uses and deaths."""
         draw, now, uses, deaths = random.Random(seed), start, 0, 0
         while now < start + seconds * 1000.0:
@@ -116,8 +117,17 @@
 class Case(unittest.TestCase):
     """A plan, with boxes that are long warm unless said."""
 
-    def plan(self, room: int = 100, boxes: int = 1, started: float | None = 0.0, idle_ms: float = 30000.0,
-             gateways: int = 1, seed: int = 0, now: float = T0, **settings: object) -> Plan:
+    def plan(
+        self,
+        room: int = 100,
+        boxes: int = 1,
+        started: float | None = 0.0,
+        idle_ms: float = 30000.0,
+        gateways: int = 1,
+        seed: int = 0,
+        now: float = T0,
+        **settings: object,
+    ) -> Plan:
         plan = Plan(Links(**settings), room, idle_ms, 10000.0, gateways, seed)  # type: ignore[arg-type]
         for number in range(boxes):
             plan.listed(now, f"b{number}", ("127.0.0.1", 1000 + number), started)
@@ -527,11 +537,23 @@
 class Machine(RuleBasedStateMachine):
     """Any order of events: never above bounds, nothing retired is used, no connection is lost from the books."""
 
-    @initialize(per_box=st.integers(2, 6), room=st.integers(4, 12),
-                reuse=st.sampled_from(("last_used", "oldest", "least_used")), ahead=st.integers(0, 1))
+    @initialize(
+        per_box=st.integers(2, 6),
+        room=st.integers(4, 12),
+        reuse=st.sampled_from(("last_used", "oldest", "least_used")),
+        ahead=st.integers(0, 1),
+    )
     def begin(self, per_box: int, room: int, reuse: str, ahead: int) -> None:
-        self.links = Links(per_box=per_box, reuse=reuse, ahead=ahead, opening_per_box=3,  # type: ignore[arg-type]
-                           opening=5, max_age_s=5.0, max_uses=20, warm_up_ms=500.0)
+        self.links = Links(
+            per_box=per_box,
+            reuse=reuse,
+            ahead=ahead,
+            opening_per_box=3,  # type: ignore[arg-type]
+            opening=5,
+            max_age_s=5.0,
+            max_uses=20,
+            warm_up_ms=500.0,
+        )
         self.room, self.now = room, T0
         self.plan = Plan(self.links, room, 3000.0, 2000.0, 2, 7)
         self.opening: list[Link] = []
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -175,8 +175,9 @@
     def told(self, core: Members, now: float, table: dict[int, tuple[int, int]]) -> None:
         """Have member 1 tell how far it knows others to be."""
         known = core.members[1]
-        rows = b"".join(bytes(table.get(number, (core.members[number].life ^ 255 if number else 0, 0)))
-                        for number in range(6))
+        rows = b"".join(
+            bytes(table.get(number, (core.members[number].life ^ 255 if number else 0, 0))) for number in range(6)
+        )
         core.handle(now, Heard(1, encode(Word(1, known.life, known.seq + 1, known.counter + 1, 6, table=rows))))
 
     def test_news_that_time_cannot_have_brought_or_of_one_that_failed_is_not_believed(self) -> None:
@@ -244,8 +245,13 @@
         spoilt = bytes([first[0]]) + first[1:20] + bytes([first[20] ^ 4]) + first[21:]
         other = encode(dataclasses.replace(decode(first) or Word(0, 0, 0, 0, 1), of=7))
         version = first[:1] + bytes([words.VERSION + 1]) + first[2:]
-        for content, why in ((spoilt, "spoilt"), (version, "spoilt"), (b"", "spoilt"), (first[:30], "spoilt"),
-                             (other, "foreign")):
+        for content, why in (
+            (spoilt, "spoilt"),
+            (version, "spoilt"),
+            (b"", "spoilt"),
+            (first[:30], "spoilt"),
+            (other, "foreign"),
+        ):
             self.assertEqual(core.handle(now, Heard(1, content))[0], Dropped(why))
         self.assertNotIn(Dropped("late"), core.handle(now, Heard(1, second)))
         for content in (second, first):  # again, and one that was overtaken
@@ -294,8 +300,10 @@
     def test_one_that_leaves_says_so_itself_and_that_life_is_over(self) -> None:
         scene = self.scene()
         word = words_of(scene.core(2), scene.fabric.now + 150.0)[0]
-        scene.fabric.send(2, [(a.to, a.content) for a in scene.core(2).handle(scene.fabric.now + 160.0, Leave())
-                              if isinstance(a, Send)])
+        scene.fabric.send(
+            2,
+            [(a.to, a.content) for a in scene.core(2).handle(scene.fabric.now + 160.0, Leave()) if isinstance(a, Send)],
+        )
         scene.kill(2)
         scene.run(1.0)
         self.assertEqual({scene.states(number)[1 if number > 2 else 1] for number in (0, 1)}, {"l"})
@@ -503,9 +511,14 @@
 
 
 TestEight = Eight.TestCase
-TestEight.settings = settings(max_examples=15, stateful_step_count=12, deadline=None, derandomize=True,
-                              phases=(Phase.explicit, Phase.generate),
-                              suppress_health_check=list(HealthCheck))
+TestEight.settings = settings(
+    max_examples=15,
+    stateful_step_count=12,
+    deadline=None,
+    derandomize=True,
+    phases=(Phase.explicit, Phase.generate),
+    suppress_health_check=list(HealthCheck),
+)
 
 
 class Judge(unittest.TestCase):
@@ -514,10 +527,18 @@
     stated = Stated(fail_s=3.0, found_s=4.0, slack_s=0.5, hear_s=1.1)
     everyone = frozenset(range(3))
 
-    def judge(self, *said: tuple[float, int, int, str, int], gone: tuple[float, float] = (10.0, 20.0),
-              cut: frozenset[tuple[int, int]] = frozenset(), back: float = 20.2) -> list[int]:
-        moments = [Moment(0.0, self.everyone, cut), Moment(gone[0], self.everyone - {2}, cut, frozenset({2})),
-                   Moment(gone[1], self.everyone, cut)]
+    def judge(
+        self,
+        *said: tuple[float, int, int, str, int],
+        gone: tuple[float, float] = (10.0, 20.0),
+        cut: frozenset[tuple[int, int]] = frozenset(),
+        back: float = 20.2,
+    ) -> list[int]:
+        moments = [
+            Moment(0.0, self.everyone, cut),
+            Moment(gone[0], self.everyone - {2}, cut, frozenset({2})),
+            Moment(gone[1], self.everyone, cut),
+        ]
         own = [Said(0.1, n, n + 1, n, "here", n + 1) for n in range(3)] + [Said(gone[1], 2, 9, 2, "here", 9)]
         first = [Said(0.2, by, by + 1, n, "here", n + 1) for by in range(3) for n in range(3) if by != n]
         last = [Said(back, by, by + 1, 2, "here", 9) for by in range(2)]
@@ -525,8 +546,12 @@
         told = [Said(at, by, by + 1, n, state, life) for at, by, n, state, life in said]
         verdict = History(3, moments, [*own, *first, *last, *told], 30.0, self.stated).judge()
         self.assertEqual(bool(verdict.examples), verdict.examples != [])
-        return [verdict.failures - verdict.found, verdict.wrongly_failed, verdict.dead_lives_back,
-                int(verdict.slowest_healed_s > 3.0)]
+        return [
+            verdict.failures - verdict.found,
+            verdict.wrongly_failed,
+            verdict.dead_lives_back,
+            int(verdict.slowest_healed_s > 3.0),
+        ]
 
     def test_the_truth_passes(self) -> None:
         self.assertEqual(self.judge((13.3, 0, 2, "failed", 3), (13.5, 1, 2, "failed", 3)), [0, 0, 0, 0])
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -72,8 +72,17 @@
         dispatcher.to_request = self.desk.give
         dispatcher.tell(Started())
         dispatcher.tell(self.fleet.relabel())
-        made = Front(self.loop, ("127.0.0.1", 0), self.platform, self.desk, lambda: True, self.counts,
-                     self.notes.append, most, Room(64.0))
+        made = Front(
+            self.loop,
+            ("127.0.0.1", 0),
+            self.platform,
+            self.desk,
+            lambda: True,
+            self.counts,
+            self.notes.append,
+            most,
+            Room(64.0),
+        )
         self.stack.callback(made.listener.close)
         self.stack.callback(lambda: [client.stream.close() for client in made.clients])
         self.where = made.listener.getsockname()
@@ -142,8 +151,10 @@
     def late(self) -> Any:
         """Have a connection come up only once this is left: until then the server's queue is full."""
         self.server.close()
-        with socket.create_server(("127.0.0.1", 0), backlog=0) as server, \
-                socket.create_connection(server.getsockname()):
+        with (
+            socket.create_server(("127.0.0.1", 0), backlog=0) as server,
+            socket.create_connection(server.getsockname()),
+        ):
             self.server = server
             self.fleet.take({"version": 2, "full": True, "servers": [entry("s0", address(server))]})
             yield
@@ -175,8 +186,10 @@
 
     def test_a_request_without_time_left_before_its_connection_comes_up_never_ran(self) -> None:
         self.server.close()
-        with socket.create_server(("127.0.0.1", 0), backlog=0) as server, \
-                socket.create_connection(server.getsockname()):
+        with (
+            socket.create_server(("127.0.0.1", 0), backlog=0) as server,
+            socket.create_connection(server.getsockname()),
+        ):
             self.fleet.take({"version": 2, "full": True, "servers": [entry("s0", address(server))]})
             self.attempt(until_ms=60.0)
             self.turn_until(lambda: self.results)
@@ -364,8 +377,16 @@
     def management(self) -> Management:
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         self.patch(tempfile, tempdir=folder)
-        made = Management(self.loop, ("127.0.0.1", 0), self.fleet, lambda: True, lambda news: None, self.counts,
-                          self.notes.append, "n0")
+        made = Management(
+            self.loop,
+            ("127.0.0.1", 0),
+            self.fleet,
+            lambda: True,
+            lambda news: None,
+            self.counts,
+            self.notes.append,
+            "n0",
+        )
         self.stack.callback(made.listener.close)
         self.stack.callback(lambda: [caller.stream.close() for caller in made.callers])
         self.where = made.listener.getsockname()
@@ -440,8 +461,10 @@
         self.assertLess(now_ms() - begin, blind_ms())
 
     def test_gateways_that_lost_discovery_at_one_moment_do_not_ask_in_step(self) -> None:
-        watches = [Watch(self.loop, ("127.0.0.1", 9), self.fleet, lambda news: None, self.counts, self.notes.append)
-                   for _ in range(50)]
+        watches = [
+            Watch(self.loop, ("127.0.0.1", 9), self.fleet, lambda news: None, self.counts, self.notes.append)
+            for _ in range(50)
+        ]
         for watch in watches:
             self.addCleanup(watch.task.steps.close)
         waits = [watch.some(discovery.WAIT_MS) for watch in watches]
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -18,20 +18,20 @@
 BAD = {
     "": "not JSON",
     "[]": "the file: [] cannot be used",
-    "{\"lnks\": {}}": "lnks: unknown; did you mean 'links'?",
-    "{\"links\": {\"pre_box\": 3}}": "links.pre_box: unknown; did you mean 'per_box'?",
-    "{\"links\": {\"zzzz\": 3}}": "links.zzzz: unknown; known here: ahead, cold,",
-    "{\"links\": {\"stale\": {\"tolernace\": 3}}}": "links.stale.tolernace: unknown; did you mean 'tolerance'?",
-    "{\"links\": {\"per_box\": 0}}": "links.per_box: 0 cannot be used",
-    "{\"links\": {\"per_box\": 1.5}}": "links.per_box: 1.5 cannot be used",
-    "{\"links\": {\"per_box\": \"many\"}}": "links.per_box: \"many\" cannot be used",
-    "{\"links\": {\"wait_ms\": -1}}": "links.wait_ms: -1 cannot be used",
-    "{\"links\": {\"reuse\": \"newest\"}}": "links.reuse: \"newest\" cannot be used: invalid enum value",
-    "{\"links\": {\"cold\": {\"per_s\": null}}}": "links.cold.per_s: null cannot be used",
-    "{\"links\": {\"per_box\": 1}}": "links.cold.at_once: 2 is above links.per_box, 1",
-    "{\"links\": {\"ahead\": 64}}": "links.ahead: 64 spares leave no room",
-    "{\"links\": {\"total\": 10}}": "links.total: 10 is below links.per_box, 64",
-    "{\"links\": {\"stale\": {\"idle_ms\": 500}}}": "links.stale.proven_ms: 1000 is above links.stale.idle_ms, 500",
+    '{"lnks": {}}': "lnks: unknown; did you mean 'links'?",
+    '{"links": {"pre_box": 3}}': "links.pre_box: unknown; did you mean 'per_box'?",
+    '{"links": {"zzzz": 3}}': "links.zzzz: unknown; known here: ahead, cold,",
+    '{"links": {"stale": {"tolernace": 3}}}': "links.stale.tolernace: unknown; did you mean 'tolerance'?",
+    '{"links": {"per_box": 0}}': "links.per_box: 0 cannot be used",
+    '{"links": {"per_box": 1.5}}': "links.per_box: 1.5 cannot be used",
+    '{"links": {"per_box": "many"}}': 'links.per_box: "many" cannot be used',
+    '{"links": {"wait_ms": -1}}': "links.wait_ms: -1 cannot be used",
+    '{"links": {"reuse": "newest"}}': 'links.reuse: "newest" cannot be used: invalid enum value',
+    '{"links": {"cold": {"per_s": null}}}': "links.cold.per_s: null cannot be used",
+    '{"links": {"per_box": 1}}': "links.cold.at_once: 2 is above links.per_box, 1",
+    '{"links": {"ahead": 64}}': "links.ahead: 64 spares leave no room",
+    '{"links": {"total": 10}}': "links.total: 10 is below links.per_box, 64",
+    '{"links": {"stale": {"idle_ms": 500}}}': "links.stale.proven_ms: 1000 is above links.stale.idle_ms, 500",
 }
 
 
@@ -102,14 +102,16 @@
                 self.assertIn("Example: petrelhall", output)
 
     def test_a_gateway_loads_nothing_of_the_tools(self) -> None:
-        code = ("import sys, petrelhall.__main__; bad = {'click', 'rich', 'structlog', 'asyncio', 'petrelhall.cli',"
-                " 'petrelhall.standins'} & set(sys.modules); sys.exit(repr(bad) if bad else 0)")
+        code = (
+            "import sys, petrelhall.__main__; bad = {'click', 'rich', 'structlog', 'asyncio', 'petrelhall.cli',"
+            " 'petrelhall.standins'} & set(sys.modules); sys.exit(repr(bad) if bad else 0)"
+        )
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
         self.assertEqual((done.returncode, done.stderr), (0, ""))
 
     def test_a_short_run_with_faults_gives_every_request_one_answer_and_breaks_no_rule(self) -> None:
         code, output = self.run_with("demo", "--seconds", "4", "--rate", "80", "--boxes", "4", "--json")
-        report = json.loads(output[output.index("{\n"):])
+        report = json.loads(output[output.index("{\n") :])
         self.assertEqual((code, report["wrong"]), (0, []))
         self.assertEqual(report["final_answers"], report["requests"])
         self.assertGreater(report["served"], 200)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -46,9 +46,16 @@
         RequestClass(Effect.KEYED, aim_ms=1000, deadline_ms=3000, window_ms=2000, late_worth=0.1),
         RequestClass(Effect.ONCE, aim_ms=1000, deadline_ms=3000, late_worth=0.1),
     ),
-    plans=(Plan(rate=1000, burst=1000), Plan(rate=2, burst=4),
-           Plan(rate=100, burst=100, ceiling_rate=4, ceiling_burst=8, ceiling_slack=1)),
-    gateways=2, cold_from=0.2, cold_ms=10000, overload_factor=2, fall_ms=1000,
+    plans=(
+        Plan(rate=1000, burst=1000),
+        Plan(rate=2, burst=4),
+        Plan(rate=100, burst=100, ceiling_rate=4, ceiling_burst=8, ceiling_slack=1),
+    ),
+    gateways=2,
+    cold_from=0.2,
+    cold_ms=10000,
+    overload_factor=2,
+    fall_ms=1000,
     max_retry_after_ms=500,
 )
 HELD = Note("held")
@@ -87,8 +94,15 @@
         actions = self.feed(Arrival(self.last, kind, plan, who, 3000, units, spread))
         return next((a for a in actions if isinstance(a, Send | Refuse | Fail)), HELD)
 
-    def answer(self, send: Send, ending: Ending, attempt: int = 0, ms: float = 50, used: float | None = None,
-               done: bool | None = None) -> list[Action]:
+    def answer(
+        self,
+        send: Send,
+        ending: Ending,
+        attempt: int = 0,
+        ms: float = 50,
+        used: float | None = None,
+        done: bool | None = None,
+    ) -> list[Action]:
         done = ending is Ending.OK if done is None else done
         return self.feed(Outcome(send.request, attempt, send.server, ending, ms, done, used))
 
@@ -412,8 +426,13 @@
 def test_gateways_that_began_together_know_that_every_store_was_full() -> None:
     """A new day, told by all others' ages; one that is older, unheard or restarted leaves the even slice."""
     settings = replace(SETTINGS, plans=(Plan(rate=1, burst=8),), gateways=4, peers=True, peer_messages_per_s=100)
-    for ages, first, second in (((0.5, 0.5, 0.5), 7.5, 8.0), ((0.5, 0.5), 1.0, 2.0), ((0.5, 0.5, 4.0), 1.0, 2.0),
-                                ((9.0, 0.5, 0.5), 1.0, 2.0), ((9.0, 0.5, 0.5, 0.5), 1.0, 2.0)):
+    for ages, first, second in (
+        ((0.5, 0.5, 0.5), 7.5, 8.0),
+        ((0.5, 0.5), 1.0, 2.0),
+        ((0.5, 0.5, 4.0), 1.0, 2.0),
+        ((9.0, 0.5, 0.5), 1.0, 2.0),
+        ((9.0, 0.5, 0.5, 0.5), 1.0, 2.0),
+    ):
         door = Door(settings)
         door.feed(Arrival(1, 0, 0, "a", 3000, 1, 4))  # it draws one of its slice of two
         door.now += 500.0
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -62,6 +62,7 @@
 
     def accept(self) -> socket.socket:
         """Take the connection that the box was sent."""
+
         def taken() -> bool:
             try:
                 sock = self.box.accept()[0]
@@ -154,8 +155,10 @@
 
     def test_an_attempt_that_still_connects_when_its_box_drains_is_not_written(self) -> None:
         self.box.close()
-        with socket.create_server(("127.0.0.1", 0), backlog=0) as server, \
-                socket.create_connection(server.getsockname()):  # its queue is full: connecting takes long
+        with (
+            socket.create_server(("127.0.0.1", 0), backlog=0) as server,
+            socket.create_connection(server.getsockname()),
+        ):  # its queue is full: connecting takes long
             self.box = server
             pool = self.pool()
             pool.connect_ms = 5000.0
@@ -265,6 +268,7 @@
 
     def folder(self) -> Any:
         import tempfile
+
         return tempfile.TemporaryDirectory()
 
     def write(self, content: str) -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -170,8 +170,9 @@
         self.assertLessEqual(max(sent), 256)
         self.assertLessEqual(len(sent), 1 * 10 + 2)
         entries = tuple(Entry(n, n, n, True) for n in range(ROOM))
-        self.assertEqual(decode(encode(Word(1, 2, 3, entries[:4], entries[4:]))), Word(1, 2, 3, entries[:4],
-                                                                                          entries[4:]))
+        self.assertEqual(
+            decode(encode(Word(1, 2, 3, entries[:4], entries[4:]))), Word(1, 2, 3, entries[:4], entries[4:])
+        )
 
     def test_districts_that_came_once_are_forgotten(self) -> None:
         ledger = Ledger(0, 1, 4.0, 1, -1e6)
@@ -188,19 +189,31 @@
 
     def gateway(self, seen: list[object], ceiling: float = 20.0) -> Gateway:
         plans = (api.Plan(rate=40.0, burst=200.0, ceiling_rate=50.0, ceiling_burst=20.0),)
-        module = Gateway(api.Settings(
-            classes=(api.RequestClass(api.Effect.REPEATABLE, aim_ms=2000.0, deadline_ms=6000.0),), plans=plans,
-            gateways=4, peers=True, peer_messages_per_s=100.0, max_retry_after_ms=2000.0), 1)
+        module = Gateway(
+            api.Settings(
+                classes=(api.RequestClass(api.Effect.REPEATABLE, aim_ms=2000.0, deadline_ms=6000.0),),
+                plans=plans,
+                gateways=4,
+                peers=True,
+                peer_messages_per_s=100.0,
+                max_retry_after_ms=2000.0,
+            ),
+            1,
+        )
 
         class Owner:
             """Hands out a share that is full of the quota, and as much of the ceiling."""
 
             def account(self, customer: object, now: float) -> Owned:
                 ledger = Ledger(0, 1, 1.0, 1, -1e9)
-                owned = Owned(ledger, ledger.account(1, False, TERMS, (), now),
-                              ledger.account(1, True, Terms(50.0, ceiling, 4), (), now))
+                owned = Owned(
+                    ledger,
+                    ledger.account(1, False, TERMS, (), now),
+                    ledger.account(1, True, Terms(50.0, ceiling, 4), (), now),
+                )
                 seen.append(owned)
                 return owned
+
         module.owner = Owner()
         module.handle(0.0, api.Started())
         module.handle(0.0, api.ServerList("full", tuple(api.Server(f"s{n}") for n in range(12))))
@@ -218,7 +231,6 @@
         self.assertAlmostEqual(seen[0].quota.share.available(1.0), 10.0)
         self.assertAlmostEqual(seen[0].ceiling.share.available(1.0), 0.0)
 
-
     def test_the_quota_decides_where_it_is_the_lesser_and_news_of_peers_adds_nothing(self) -> None:
         module = self.gateway([], ceiling=400.0)
         sent = 0
@@ -350,8 +362,10 @@
         part = SimpleNamespace(exchange=SimpleNamespace(answered=lambda *values: heard.append(values)))
         for ending in (Ending.OK, Ending.TIMEOUT, Ending.FULL, Ending.CONNECT_FAILED, Ending.ERROR):
             Sharing.reply(part, api.CounterReply(7, ending, 3.0))  # type: ignore[arg-type]
-        self.assertEqual([(ok, refused) for _, _, ok, refused, _ in heard],
-                         [(True, False), (False, False), (False, True), (False, True), (False, True)])
+        self.assertEqual(
+            [(ok, refused) for _, _, ok, refused, _ in heard],
+            [(True, False), (False, False), (False, True), (False, True), (False, True)],
+        )
 
     def test_calls_are_few_and_a_counter_that_fails_is_not_pressed(self) -> None:
         exchange, _ = self.one(0, 0.0)
@@ -390,8 +404,9 @@
     def test_a_soak_of_real_processes_passes_nothing_and_asks_seldom(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             out = os.path.join(folder, "out.json")
-            result = CliRunner().invoke(main, ["quota", "soak", "--minutes", "0.5", "--every", "4", "--districts", "4",
-                                               "--json", out])
+            result = CliRunner().invoke(
+                main, ["quota", "soak", "--minutes", "0.5", "--every", "4", "--districts", "4", "--json", out]
+            )
             self.assertEqual(result.exit_code, 0, result.output)
             with open(out) as file:
                 figures = json.load(file)
@@ -414,8 +429,10 @@
 
     def turn(self, now: float) -> list[Call]:
         back, self.back = self.back, ()
-        calls = [self.call(now, call.account, self.desk((call.account.code, False)), int(2.0 * units), units,
-                           call.window) for call, units in back]
+        calls = [
+            self.call(now, call.account, self.desk((call.account.code, False)), int(2.0 * units), units, call.window)
+            for call, units in back
+        ]
         return calls + super().turn(now)
 
 
@@ -456,8 +473,15 @@
         with tempfile.TemporaryDirectory() as folder:
             path, operator = os.path.join(folder, "config.json"), os.path.join(folder, "operator.json")
             with open(path, "w") as file:
-                json.dump({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
-                           "settings": platform(4, 0, 1500.0)}, file)
+                json.dump(
+                    {
+                        "listen": "127.0.0.1:1",
+                        "discovery": "127.0.0.1:2",
+                        "seed": "1",
+                        "settings": platform(4, 0, 1500.0),
+                    },
+                    file,
+                )
             with open(operator, "w") as file:
                 json.dump({"quota": {"on": True}}, file)
             off = CliRunner().invoke(main, ["quota", "bound", path, "--json"])
@@ -486,14 +510,20 @@
         self.assertEqual((meter.refused, meter.refused_half_unused), (2, 1))
 
     def test_real_processes_cut_in_two_keep_every_quota_and_go_on_serving(self) -> None:
-        play = Play(strikes=(Strike(2.0, "cut", (0, 1), 6.0, (2, 3)), Strike(3.0, "kill", (3,), 0.0),
-                             Strike(4.0, "stop", (0,), 1.5)))
+        play = Play(
+            strikes=(
+                Strike(2.0, "cut", (0, 1), 6.0, (2, 3)),
+                Strike(3.0, "kill", (3,), 0.0),
+                Strike(4.0, "stop", (0,), 1.5),
+            )
+        )
         with tempfile.TemporaryDirectory() as folder:
             script, out = os.path.join(folder, "script.json"), os.path.join(folder, "out.json")
             with open(script, "wb") as file:
                 file.write(msgspec.json.encode(play))
-            result = CliRunner().invoke(main, ["drill", "quota", "--seconds", "12", "--districts", "3", "--script",
-                                               script, "--json", out])
+            result = CliRunner().invoke(
+                main, ["drill", "quota", "--seconds", "12", "--districts", "3", "--script", script, "--json", out]
+            )
             self.assertEqual(result.exit_code, 0, result.output)
             with open(out) as file:
                 figures = json.load(file)
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -187,16 +187,21 @@
             play = Play(seed)
             play.until(25.0, equal)
             self.assertIn(play.mover.state, (State.STEPPING, State.HOLDING))
-            state = play.until(55.0, lambda at, target, kind: equal(at, target, kind) * (1.5 if target else 1.0),
-                               State.UNDONE)
+            state = play.until(
+                55.0, lambda at, target, kind: equal(at, target, kind) * (1.5 if target else 1.0), State.UNDONE
+            )
             self.assertIs(state, State.UNDONE)
             self.assertEqual(play.mover.wanted, 0.0)
             self.assertIn("slower", play.mover.reason)
 
     def test_a_target_bad_for_one_class_alone_is_halted(self) -> None:
         play = Play(3, rate=200.0)
-        state = play.until(120.0, lambda at, target, kind: equal(at, target, kind) * (
-            2.5 if target and kind == "hard" else 0.9 if target else 1.0), State.HALTED)
+        state = play.until(
+            120.0,
+            lambda at, target, kind: equal(at, target, kind)
+            * (2.5 if target and kind == "hard" else 0.9 if target else 1.0),
+            State.HALTED,
+        )
         self.assertIs(state, State.HALTED)
         self.assertIn("class hard", play.mover.reason)
 
@@ -287,8 +292,10 @@
 
     def test_the_operators_word_is_taken(self) -> None:
         import msgspec
+
         def with_order(order: str) -> Move:
             return msgspec.structs.replace(MOVE, order=order)
+
         mover = Mover(with_order("pause"))
         mover.look(T0, 0.0)
         self.assertEqual((mover.state, mover.wanted), (State.IDLE, 0.0))
@@ -355,8 +362,10 @@
             self.assertEqual(side(move, 0.99, district, "1", kind, plan).pools, ("old",))
 
     def test_what_spills_is_set(self) -> None:
-        pools = [side(Move("m", "old", "new", MOVE.steps, spill=spill), 1.0, "d", "1", "c", "p").pools
-                 for spill in ("source", "refuse")]
+        pools = [
+            side(Move("m", "old", "new", MOVE.steps, spill=spill), 1.0, "d", "1", "c", "p").pools
+            for spill in ("source", "refuse")
+        ]
         self.assertEqual(pools, [("new", "old"), ("new",)])
 
     def test_a_box_in_two_pools_or_in_none_is_an_error_or_the_default(self) -> None:
@@ -378,19 +387,24 @@
         def sent(number: int, *pools: str) -> list[Any]:
             actions = module.handle(100.0 + number, api.Arrival(number, 0, 0, "c", 5000.0, pools=pools))
             return [action.server for action in actions if isinstance(action, api.Send)] or [
-                type(action).__name__ for action in actions if isinstance(action, api.Refuse)]
+                type(action).__name__ for action in actions if isinstance(action, api.Refuse)
+            ]
 
-        self.assertEqual([sent(1, "new"), sent(2, "old"), sent(3, "gone", "new"), sent(4, "gone")],
-                         [["n"], ["o"], ["n"], ["Refuse"]])
+        self.assertEqual(
+            [sent(1, "new"), sent(2, "old"), sent(3, "gone", "new"), sent(4, "gone")], [["n"], ["o"], ["n"], ["Refuse"]]
+        )
 
     def module(self, group: str, since_ms: float = 0.0) -> Gateway:
         keyed = PROFILE["Grades"][1] | {"Group": group}
-        profile = PROFILE | {"Grades": [PROFILE["Grades"][0], keyed],
-                             "Rules": {"ColdFrom": 0.25, "ColdMs": 10000.0}}
+        profile = PROFILE | {"Grades": [PROFILE["Grades"][0], keyed], "Rules": {"ColdFrom": 0.25, "ColdMs": 10000.0}}
         module = Gateway(read_settings(profile), 1)
         module.handle(T0, api.Started())
-        module.handle(T0, api.ServerList("full", (
-            api.Server("o", cell=1, pool="old", since_ms=since_ms), api.Server("n", cell=2, pool="new"))))
+        module.handle(
+            T0,
+            api.ServerList(
+                "full", (api.Server("o", cell=1, pool="old", since_ms=since_ms), api.Server("n", cell=2, pool="new"))
+            ),
+        )
         return module
 
     def test_a_keyed_request_that_may_have_run_on_the_target_goes_on_as_its_group_allows(self) -> None:
@@ -409,8 +423,11 @@
         names = []
         for number in range(50):
             arrival = api.Arrival(number, 0, 0, "c", 5000.0, pools=("old",))
-            names += [type(action).__name__ for action in module.handle(T0 + 10.0 + number, arrival)
-                      if isinstance(action, api.Send | api.Refuse)]
+            names += [
+                type(action).__name__
+                for action in module.handle(T0 + 10.0 + number, arrival)
+                if isinstance(action, api.Send | api.Refuse)
+            ]
         self.assertEqual(len(names), 50)
         self.assertLess(names.count("Send"), 5)
 
@@ -432,14 +449,27 @@
         self.notes: list[str] = []
         self.sent: list[bytes] = []
         self.loop, self.counts, self.fleet = Loop(self.notes.append), Counts(), Fleet(("a",))
-        self.fleet.take({"version": 1, "full": True, "servers": [
-            entry("old-1", "127.0.0.1:1"), entry("new-1", "127.0.0.1:2"), entry("odd", "127.0.0.1:3")]})
+        self.fleet.take(
+            {
+                "version": 1,
+                "full": True,
+                "servers": [entry("old-1", "127.0.0.1:1"), entry("new-1", "127.0.0.1:2"), entry("odd", "127.0.0.1:3")],
+            }
+        )
         self.plan = Plan(Links(), 10, 30000.0, 10000.0)
         self.shifter = self.shifter_of_a_gateway()
 
     def shifter_of_a_gateway(self) -> Shifter:
-        shifter = Shifter(self.loop, self.fleet, self.plan, self.told.append, self.counts, self.notes.append,
-                          ("view", "change"), ("plan",))
+        shifter = Shifter(
+            self.loop,
+            self.fleet,
+            self.plan,
+            self.told.append,
+            self.counts,
+            self.notes.append,
+            ("view", "change"),
+            ("plan",),
+        )
         shifter.to_peers = self.sent.append
         shifter.configure(Shift((Pool("old", id="old-.*"), Pool("new", id="new-.*")), move=MOVE))
         return shifter
@@ -516,7 +546,7 @@
     '"target": "b", "steps": [{"share": 2}]': "shift.move.steps[0].share: 2 cannot be used",
     '"target": "b", "steps": [{"share": 0.5}, {"share": 0.5}]': "shift.move.steps: shares must rise",
     '"target": "b", "closed": [{"start_s": 2, "end_s": 1}]': "shift.move.closed[0]: ends before it starts",
-    '"target": "b", "order": "go"': "shift.move.order: \"go\" cannot be used",
+    '"target": "b", "order": "go"': 'shift.move.order: "go" cannot be used',
     '"target": "b", "worse": {"tolerated": 1.5}': "shift.move.worse.accepted: 1.15 is below",
 }
 
@@ -526,8 +556,9 @@
 
     def test_each_bad_section_is_refused_with_its_reason(self) -> None:
         pools = '"pools": [{"name": "a", "cell": 1}, {"name": "b", "cell": 2}]'
-        cases = dict(BAD) | {f'{{{pools}, "move": {{"name": "m", "source": "a", {part}}}}}': reason
-                             for part, reason in BAD_MOVES.items()}
+        cases = dict(BAD) | {
+            f'{{{pools}, "move": {{"name": "m", "source": "a", {part}}}}}': reason for part, reason in BAD_MOVES.items()
+        }
         for content, reason in cases.items():
             with self.subTest(content=content), self.assertRaises(OperatorError) as caught:
                 parse(f'{{"shift": {content}}}'.encode())
@@ -545,8 +576,13 @@
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         self.path_of_file = os.path.join(folder, "operator.json")
         old, new = self.listener(), self.listener()
-        move = {"name": "m", "source": "old", "target": "new", "steps": [{"share": 1.0, "least_s": 3600.0}],
-                "undo_per_s": 10.0}
+        move = {
+            "name": "m",
+            "source": "old",
+            "target": "new",
+            "steps": [{"share": 1.0, "least_s": 3600.0}],
+            "undo_per_s": 10.0,
+        }
         pools = [{"name": "old", "id": "s0"}, {"name": "new", "id": "s1"}]
         self.file({"pools": pools, "move": move})
         self.start(old, new, arguments=("--operator", self.path_of_file))
@@ -578,9 +614,20 @@
                 for number in range(1500):
                     target = draw.random() < 0.3
                     took = math.exp(0.4 * draw.gauss(0, 1)) * (1.4 if target else 1.0)
-                    file.write(json.dumps({"at_ms": 10.0 * number, "target": target, "kind": ["k", "p", 0],
-                                           "latency_ms": took, "error": False, "censored": False,
-                                           "district": "d"}) + "\n")
+                    file.write(
+                        json.dumps(
+                            {
+                                "at_ms": 10.0 * number,
+                                "target": target,
+                                "kind": ["k", "p", 0],
+                                "latency_ms": took,
+                                "error": False,
+                                "censored": False,
+                                "district": "d",
+                            }
+                        )
+                        + "\n"
+                    )
             done = CliRunner().invoke(main, ["shift", "replay", path, "--json"])
             self.assertEqual((done.exit_code, json.loads(done.output)["worse_after_s"] > 0), (1, True))
             with open(path, "a") as file:
@@ -590,5 +637,3 @@
 
 if __name__ == "__main__":
     unittest.main()
-
-
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -47,8 +47,10 @@
         everyone = senders[0].getsockname()
         peers = []
         for name in got:
+
             def heard(message: api.PeerMessage, name: str = name) -> None:
                 got[name] += 1
+
             peers.append(Peers(loop, own, tuple(s.getsockname() for s in senders), everyone, 99, heard, Counts()))
             self.addCleanup(peers[-1].sock.close)
         peers[0].only_speak()
@@ -71,8 +73,12 @@
         first = self.start(server)
         self.client(ask(1))
         read_message(self.accept(server))  # the first is serving, and has said it is ready
-        second = subprocess.Popen([sys.executable, "-m", "petrelhall"], env={**os.environ, "EDGE_CONFIG": self.path},
-                                  text=True, stderr=subprocess.PIPE)
+        second = subprocess.Popen(
+            [sys.executable, "-m", "petrelhall"],
+            env={**os.environ, "EDGE_CONFIG": self.path},
+            text=True,
+            stderr=subprocess.PIPE,
+        )
         self.stack.callback(lambda: second.poll() is None and second.kill())
         _, errors = first.communicate(timeout=PATIENCE_S)  # no signal is sent to it
         self.assertEqual(first.returncode, 0, errors)
@@ -86,8 +92,12 @@
 
     def second(self, **environment: str) -> subprocess.Popen[str]:
         """Start another process of the same gateway beside the first."""
-        program = subprocess.Popen([sys.executable, "-m", "petrelhall"], text=True, stderr=subprocess.PIPE,
-                                   env={**os.environ, "EDGE_CONFIG": self.path, **environment})
+        program = subprocess.Popen(
+            [sys.executable, "-m", "petrelhall"],
+            text=True,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "EDGE_CONFIG": self.path, **environment},
+        )
         self.stack.callback(lambda: program.poll() is None and program.kill())
         return program
 
@@ -194,8 +204,12 @@
         read_message(at_server)
         at_server.sendall(reply(b"old"))
         self.assertTrue(read_message(client).endswith(b"old"))
-        second = subprocess.Popen([sys.executable, "-m", "petrelhall"], env={**os.environ, "EDGE_CONFIG": self.path},
-                                  text=True, stderr=subprocess.PIPE)
+        second = subprocess.Popen(
+            [sys.executable, "-m", "petrelhall"],
+            env={**os.environ, "EDGE_CONFIG": self.path},
+            text=True,
+            stderr=subprocess.PIPE,
+        )
         self.stack.callback(lambda: second.poll() is None and second.kill())
         first.send_signal(signal.SIGTERM)
         _, errors = first.communicate(timeout=PATIENCE_S)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -23,8 +23,14 @@
 
 def converse(*lines: str) -> tuple[list[list[list[Any]]], str]:
     """Run the process on some lines; its replies and what it wrote on standard error."""
-    run = subprocess.run([sys.executable, "-m", "petrelhall.wirehost"], input="\n".join(lines) + "\n",
-                         capture_output=True, text=True, timeout=60, check=True)
+    run = subprocess.run(
+        [sys.executable, "-m", "petrelhall.wirehost"],
+        input="\n".join(lines) + "\n",
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
     return [json.loads(line)["outbox"] for line in run.stdout.splitlines()], run.stderr
 
 
@@ -40,8 +46,13 @@
 
 def test_words_to_a_customers_set_go_to_its_members_by_number() -> None:
     plan = {"QuotaRate": 500.0, "Depth": 500.0, "Parallel": 9}
-    many = PROFILE | {"Balancers": 40, "Position": 7, "Limits": {"MayTell": True}, "Packages": [plan],
-                      "FamilyInfo": {"MailPerS": 100.0}}
+    many = PROFILE | {
+        "Balancers": 40,
+        "Position": 7,
+        "Limits": {"MayTell": True},
+        "Packages": [plan],
+        "FamilyInfo": {"MailPerS": 100.0},
+    }
     request = [*REQUEST[:8], 3, 6, False, False]
     replies, _ = converse(batch(0), batch(1, ["OpenInstance", 3, 42, many], *OPEN[1:]), batch(3000, request))
     assert [m[2] for m in replies[2] if m[0] == "Tell"] == [6, 8]
@@ -54,14 +65,21 @@
 
 
 def test_stop_and_open_in_one_batch_forgets_all() -> None:
-    replies, errors = converse(batch(1, *OPEN, REQUEST), batch(2, ["Stop", 3], OPEN[0]),
-                               batch(3, ["ClientLeft", 3, 77]))
+    replies, errors = converse(
+        batch(1, *OPEN, REQUEST), batch(2, ["Stop", 3], OPEN[0]), batch(3, ["ClientLeft", 3, 77])
+    )
     assert replies[2] == [] and errors == ""
 
 
 def test_bad_lines_and_messages_are_told_plainly_and_answered() -> None:
-    replies, errors = converse("no json", batch(1, ["Nonsense", 3]), batch(2, ["TimeoutFired", 9, 1]),
-                               batch(3, *OPEN), batch(4, REQUEST[:4]), batch(5, REQUEST))
+    replies, errors = converse(
+        "no json",
+        batch(1, ["Nonsense", 3]),
+        batch(2, ["TimeoutFired", 9, 1]),
+        batch(3, *OPEN),
+        batch(4, REQUEST[:4]),
+        batch(5, REQUEST),
+    )
     assert len(replies) == 6 and replies[5][0][0] == "Route"
     lines = errors.splitlines()
     assert len(lines) == 4 and "Traceback" not in errors
