links/plan.py split by job: records, bounds, slow start, opening, reuse, staleness

Its records are now in connection.py and server.py; inventory.py counts all connections, bounds.py says how many there may be, slow_start.py at which pace they come to a cold server, opening.py which are begun, reuse.py which idle one a request takes, staleness.py how long they are kept. Plan keeps its public methods and calls these directly: the number of calls for a request is as before. Box.life is named survival, as its type is.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,7 +10,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from petrelhall.links.limits import CLASSES, FLOOR_MS, NEVER, Survival, age_class, lower_edge
-from petrelhall.links.plan import REST_MS, RESTS, RETRY_MS, SETTLE_MS, End, Link, No, Plan, State, Wait
+from petrelhall.links.opening import RETRY_MS
+from petrelhall.links.plan import End, Link, No, Plan, State, Wait
+from petrelhall.links.reuse import REST_MS, RESTS
+from petrelhall.links.staleness import SETTLE_MS
 from petrelhall.operator.settings import Cold, Links, Stale
 
 T0 = 1_000_000.0
@@ -336,7 +339,7 @@
             plan.closed(T0 + 700.0 + number, link)
         plan.tick(T0 + 700.0 + 2 * SETTLE_MS)
         self.assertTrue(plan.cold(T0 + 800.0, plan.boxes["b0"]))
-        self.assertEqual(plan.boxes["b0"].life.limit(T0 + 1000.0, 0.01), NEVER)
+        self.assertEqual(plan.boxes["b0"].survival.limit(T0 + 1000.0, 0.01), NEVER)
 
     def test_gateways_started_together_open_their_first_connections_in_orders_of_their_own(self) -> None:
         first = set()
@@ -471,7 +474,7 @@
         self.used(plan, T0 + 2010.0, self.up(plan, T0 + 2000.0))  # a safe one proves it
         plan.boxes["b0"].looked = 0.0
         plan.idle.clear()
-        proven = plan.boxes["b0"].life.survived(T0 + 2010.0)
+        proven = plan.boxes["b0"].survival.survived(T0 + 2010.0)
         self.assertGreater(proven, 1500.0)
 
     def test_a_connection_that_timed_out_while_its_box_answered_others_was_dead(self) -> None:
@@ -483,7 +486,7 @@
         plan.silent(T0 + 1400.0, old)
         plan.put(T0 + 1400.0, old, False)
         plan.tick(T0 + 1400.0 + 2 * SETTLE_MS)
-        self.assertLess(plan.boxes["b0"].life.limit(T0 + 1800.0, 0.01), 900.0)
+        self.assertLess(plan.boxes["b0"].survival.limit(T0 + 1800.0, 0.01), 900.0)
 
     def test_the_box_s_word_on_its_patience_is_taken(self) -> None:
         plan = self.plan()
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -28,7 +28,7 @@
 from petrelhall.gateway.requests import Desk
 from petrelhall.http.h1 import Message
 from petrelhall.http.room import Room
-from petrelhall.links import plan
+from petrelhall.links import reuse
 from petrelhall.links.attempt import Reach
 from petrelhall.links.plan import Plan
 from petrelhall.links.pool import Pool
@@ -196,7 +196,7 @@
         self.assertEqual((self.results[0].ending, self.results[0].reach), (Ending.MOOT, Reach.UNWRITTEN))
 
     def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_requests(self) -> None:
-        self.patch(plan, REST_MS=300.0)  # so that a slow machine is in time
+        self.patch(reuse, REST_MS=300.0)  # so that a slow machine is in time
         self.plan.settings = Links(wait_ms=2000.0)
         self.attempt()
         first = self.accept()
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -16,8 +16,9 @@
 from petrelhall.gateway.platform import Platform, Spoken
 from petrelhall.http.h1 import Message
 from petrelhall.links.attempt import Reach
-from petrelhall.links.plan import REST_MS, Plan
+from petrelhall.links.plan import Plan
 from petrelhall.links.pool import Pool
+from petrelhall.links.reuse import REST_MS
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Task, now_ms
 from petrelhall.operator.settings import Links
