accord/core.py split by job: events, voting, leases, proposals, recovery, others

The core of agreement was 948 lines in one class with 50 methods. Now core.py (287 lines) holds what is known and passes each message to the part that it is for; events.py has the events and actions, voting.py the ballots, leases.py what is asked for, granted and served, proposals.py the operators' changes, recovery.py a start, decisions.py how decisions spread, transfer.py documents in pieces, outbox.py the bound on messages, history.py, checks.py and view.py what their names say. The parts are composed; learn, promised, voted, hold and keep stay in the core since several parts meet there (and the tests' seeded mistakes override two of them). Messages are dispatched by type in a match statement in place of a method name put together from a class name. All names stay importable from accord.core.

--- /dev/null
+++ b/petrelhall/accord/view.py
@@ -0,0 +1,64 @@
+"""What operators are shown of agreement, as JSON's values."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from petrelhall.accord.words import FULL
+
+if TYPE_CHECKING:
+    from petrelhall.accord.core import Accord
+
+
+def view(core: Accord, now: float) -> dict[str, Any]:
+    """Give all of it as JSON's values."""
+    state = "unsure"
+    if core.allowed(now):
+        state = "serving" if core.kind == FULL else "strictest"
+    memory = core.voter.memory if core.voter is not None and core.voter.remembers else None
+    pending = [
+        {"digest": change.digest.hex(), "version": change.slot, "state": change.state}
+        for change in core.changes
+        if not change.over
+    ]
+    if memory is not None and memory.accepted and not pending:
+        pending.append({"digest": memory.value.hex(), "version": memory.version + 1, "state": "voted on"})
+    return {
+        "self": core.number,
+        "life": core.life,
+        "version": core.known.version if core.certain else None,
+        "digest": core.known.digest.hex(),
+        "state": state,
+        "why": core.trouble,
+        "lease_ms": round(max(0.0, core.holder.until[core.kind] - now)) if core.allowed(now) else 0,
+        "votes": memory is not None,
+        "pending": pending,
+        "owed": core.leases.owed(now) if core.certain else [],
+        "members": [
+            {
+                "number": number,
+                "votes": number in core.pace.voters,
+                "version": version,
+                "asked_ms_ago": round(now - at),
+            }
+            for number, (version, at) in sorted(core.leases.versions.items())
+        ],
+        "history": [{"version": version, "digest": digest.hex()} for version, digest in core.history],
+        "changes": [
+            {
+                "digest": change.digest.hex(),
+                "version": change.slot,
+                "state": change.state,
+                "settles": change.settles,
+                "took_ms": round((change.ended or now) - change.began),
+                "reasons": {str(number): reason for number, reason in change.reasons.items()},
+            }
+            for change in core.changes
+        ],
+        "pace": {
+            "life_ms": round(core.pace.life_ms),
+            "ask_ms": round(core.pace.ask_ms),
+            "fence_ms": round(core.pace.fence_ms),
+            "voters": sorted(core.pace.voters),
+        },
+    }
--- a/petrelhall/gateway/agreement.py
+++ b/petrelhall/gateway/agreement.py
@@ -215,7 +215,7 @@
 
     def look_again(self) -> None:
         """Check documents anew, since the own file has changed: what could not be served may be able to now."""
-        self.core.checked.clear()
+        self.core.checks.forget()
 
     def hand_over(self) -> None:
         """A newer process of this gateway speaks and votes from now on; the lease that is held runs on."""
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -299,7 +299,7 @@
             world.take(CALM)
         self.assertEqual(self.versions(world), [1, 1, -1, 1, 1])
         self.assertIn("not here", world.cores[2].view(world.clock(2))["why"])
-        world.cores[2].check = lambda content: ""  # its file was mended
+        world.cores[2].checks.check = lambda content: ""  # its file was mended
         Agreement.look_again(SimpleNamespace(core=world.cores[2]))  # type: ignore[arg-type]
         world.take(CALM)
         self.assertEqual(self.versions(world), [1] * 5)
@@ -459,7 +459,7 @@
             for voter in (1, 2):  # as a process that stood still would find them waiting
                 if core.ballot is not None:
                     vote = words.encode(words.Accepted(9, core.life, 1, 77), 3, 3)
-                    core.on_word(now, voter, vote)
+                    core.on_message(now, voter, vote)
             self.assertEqual(core.known.version, version)
         self.worlds.remove(world)  # nobody has such a document
 
@@ -481,15 +481,15 @@
             core.may_vote = False
             late = 5.0 * PACE.fence_ms
             core.handle(late, Tick())
-            self.assertEqual(core.query, None)  # it asks nobody what to remember while the other may still vote
+            self.assertEqual(core.recovery.query, None)  # it asks nobody what to remember while the other may vote
             core.take_over(late, memory, (b"three",))
             assert core.voter is not None
             self.assertEqual((core.voter.fence, core.voter.remembers), (late + PACE.fence_ms, memory is not None))
             self.assertEqual(core.voter.memory, memory or Memory())
             core.handle(late + PACE.fence_ms - 1.0, Tick())
-            self.assertEqual(core.query, None)  # nor while ballots may be open in which that one voted
+            self.assertEqual(core.recovery.query, None)  # nor while ballots may be open in which that one voted
             core.handle(late + PACE.fence_ms + PACE.retry_ms, Tick())
-            self.assertEqual(core.query is not None, memory is None)
+            self.assertEqual(core.recovery.query is not None, memory is None)
 
     def test_one_that_does_not_remember_writes_nothing_down_that_would_pass_for_a_memory(self) -> None:
         core = Accord(0, 1, PACE, FILE, lambda content: "", 1, 0.0)
