--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -211,8 +211,8 @@
         core = self.scene().core(0)
         told = []
         for _ in range(8):
-            core.hurry(1)
-            told.append(core.whom())
+            core.recipients.hurry(1)
+            told.append(core.recipients.next())
         self.assertGreaterEqual(told.count(1), 4)
         self.assertGreaterEqual(len(set(told) - {1}), 3)
 
@@ -319,8 +319,8 @@
         scene.run(1.0)
         scene.start(5)
         scene.core(4).begin(scene.fabric.now, 5, scene.core(5).life, 0)
-        scene.core(4).news = {number: 9 for number in (1, 2, 3)}  # what else is new does not crowd it out
-        scene.core(4).urgent, scene.core(4).told = [5], 0
+        scene.core(4).news.times = {number: 9 for number in (1, 2, 3)}  # what else is new does not crowd it out
+        scene.core(4).recipients.urgent, scene.core(4).recipients.told = [5], 0
         (word,) = words_of(scene.core(4), scene.fabric.now + 150.0)
         scene.core(5).handle(scene.fabric.now + 150.0, Heard(4, word))
         self.assertNotIn("u", scene.states(5))
@@ -337,7 +337,7 @@
         core = Members(0, 1, pace(6, 100.0, 0.1, 300.0), 1, 0.0)
         core.handle(10.0, Sign(3))
         self.assertEqual(core.view(20.0, {})["members"][0]["hears"], [3])
-        first = {Members(n, 1, core.pace, seed, 0.0).next_word for n, seed in enumerate(range(20))}
+        first = {Members(n, 1, core.pace, seed, 0.0).speaker.next_word for n, seed in enumerate(range(20))}
         self.assertGreater(max(first) - min(first), 0.5 * core.pace.word_ms)
 
     def test_words_hold_to_256_bytes_at_every_size(self) -> None:
