One module of the events and actions that the control cores have in common

Members, quota and agreement each defined Send and Dropped alike, and two of them Tick, Heard and Quiet. They are defined once in petrelhall/events.py now; Send is generic in its recipient, since membership alone also sends to all (None). Importers take the five names from there or, as before, from the cores.

--- a/petrelhall/accord/core.py
+++ b/petrelhall/accord/core.py
@@ -19,22 +19,7 @@
 from petrelhall.accord.checks import Checks
 from petrelhall.accord.decisions import Decisions
 from petrelhall.accord.documents import Documents
-from petrelhall.accord.events import (
-    Abort,
-    Action,
-    Begin,
-    Dropped,
-    Event,
-    Heard,
-    Keep,
-    Propose,
-    Quiet,
-    Send,
-    Serve,
-    Settle,
-    Tick,
-    Told,
-)
+from petrelhall.accord.events import Abort, Action, Begin, Event, Keep, Propose, Serve, Settle, Told
 from petrelhall.accord.history import History
 from petrelhall.accord.lease import Holder
 from petrelhall.accord.leases import Leases
@@ -47,6 +32,7 @@
 from petrelhall.accord.votes import Memory, Voter
 from petrelhall.accord.voting import Voting
 from petrelhall.accord.words import FULL
+from petrelhall.events import Dropped, Heard, Quiet, Send, Tick
 
 __all__ = [
     "Abort",
--- a/petrelhall/accord/events.py
+++ b/petrelhall/accord/events.py
@@ -5,23 +5,11 @@
 from dataclasses import dataclass
 
 from petrelhall.accord.votes import Memory
+from petrelhall.events import Dropped, Heard, Quiet, Send, Tick
 
 # Events
 
 
-@dataclass(frozen=True, slots=True)
-class Tick:
-    """Time has passed."""
-
-
-@dataclass(frozen=True, slots=True)
-class Heard:
-    """A message of agreement came from the address of member ``sender``."""
-
-    sender: int
-    content: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class Propose:
     """An operator wants a document in place of version ``base``."""
@@ -47,25 +35,12 @@
     """An operator states that all voters not heard here are gone, and come back empty if they come back."""
 
 
-@dataclass(frozen=True, slots=True)
-class Quiet:
-    """A newer process of this member speaks from now on."""
-
-
 Event = Tick | Heard | Propose | Abort | Settle | Begin | Quiet
 
 
 # Actions
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Tell a member."""
-
-    to: int
-    content: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class Keep:
     """Write this down, safely, before any of the actions that follow: a voter's memory, and the documents it names."""
@@ -90,11 +65,4 @@
     what: str
 
 
-@dataclass(frozen=True, slots=True)
-class Dropped:
-    """A message was not taken or not sent; ``why`` is counted."""
-
-    why: str
-
-
-Action = Send | Keep | Serve | Told | Dropped
+Action = Send[int] | Keep | Serve | Told | Dropped
--- a/petrelhall/accord/leases.py
+++ b/petrelhall/accord/leases.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from petrelhall.accord import words
-from petrelhall.accord.events import Dropped, Serve
+from petrelhall.accord.events import Serve
 from petrelhall.accord.words import EITHER, FULL, NONE
+from petrelhall.events import Dropped
 
 if TYPE_CHECKING:
     from petrelhall.accord.core import Accord
--- a/petrelhall/accord/outbox.py
+++ b/petrelhall/accord/outbox.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from petrelhall.accord import words
-from petrelhall.accord.events import Action, Dropped, Send
+from petrelhall.accord.events import Action
 from petrelhall.accord.plan import Pace
 from petrelhall.accord.words import AnyWord
+from petrelhall.events import Dropped, Send
 
 BEHIND = 8  # messages that may go at once beyond the pace, for each voter
 
--- a/petrelhall/emulate/quota.py
+++ b/petrelhall/emulate/quota.py
@@ -10,8 +10,9 @@
 from dataclasses import dataclass, field
 
 from petrelhall.emulate.search import Found, search
+from petrelhall.events import Send
 from petrelhall.quota.bound import bounds
-from petrelhall.quota.ledger import TURN_MS, Account, Action, Ledger, Send
+from petrelhall.quota.ledger import TURN_MS, Account, Action, Ledger
 from petrelhall.quota.shares import RHO, Share, Terms
 from petrelhall.standins.meter import Meter, Store
 
--- a/petrelhall/gateway/sharing.py
+++ b/petrelhall/gateway/sharing.py
@@ -9,6 +9,7 @@
 from petrelhall.decide import interface as api
 from petrelhall.decide.interface import Ending
 from petrelhall.decide.state import Customer
+from petrelhall.events import Send
 from petrelhall.gateway.counter import CounterClient
 from petrelhall.gateway.peers import Peers
 from petrelhall.net.counts import Counts
@@ -16,7 +17,7 @@
 from petrelhall.net.stream import Address
 from petrelhall.operator.settings import Quota as Settings
 from petrelhall.quota.exchange import Call, Exchange
-from petrelhall.quota.ledger import TURN_MS, Account, Action, Ledger, Send
+from petrelhall.quota.ledger import TURN_MS, Account, Action, Ledger
 from petrelhall.quota.shares import Terms
 from petrelhall.quota.words import KIND
 
--- a/petrelhall/members/core.py
+++ b/petrelhall/members/core.py
@@ -17,10 +17,11 @@
 from collections.abc import Iterable
 from typing import Any
 
+from petrelhall.events import Dropped, Heard, Quiet, Send, Tick
 from petrelhall.members import view, words
 from petrelhall.members.boxes import code
 from petrelhall.members.detector import Detector
-from petrelhall.members.events import Action, Changed, Dropped, Event, Heard, Leave, Quiet, Send, Sign, Tick
+from petrelhall.members.events import Action, Changed, Event, Leave, Sign
 from petrelhall.members.member import Member, State
 from petrelhall.members.news import LIVES, News
 from petrelhall.members.plan import STALL_MS, Pace
--- a/petrelhall/members/events.py
+++ b/petrelhall/members/events.py
@@ -4,20 +4,9 @@
 
 from dataclasses import dataclass
 
-# Events
-
-
-@dataclass(frozen=True, slots=True)
-class Tick:
-    """Time has passed."""
-
+from petrelhall.events import Dropped, Heard, Quiet, Send, Tick
 
-@dataclass(frozen=True, slots=True)
-class Heard:
-    """A message of membership came from the address of member ``sender``."""
-
-    sender: int
-    content: bytes
+# Events
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,25 +21,12 @@
     """Told to end."""
 
 
-@dataclass(frozen=True, slots=True)
-class Quiet:
-    """A newer process of this member speaks from now on."""
-
-
 Event = Tick | Heard | Sign | Leave | Quiet
 
 
 # Actions
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Tell member ``to``, or all where it is None."""
-
-    to: int | None
-    content: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class Changed:
     """A member's state or life has changed here, or this process found that it was away (``number`` its own)."""
@@ -61,11 +37,4 @@
     why: str
 
 
-@dataclass(frozen=True, slots=True)
-class Dropped:
-    """A message was not taken; ``why`` is counted."""
-
-    why: str
-
-
-Action = Send | Changed | Dropped
+Action = Send[int | None] | Changed | Dropped
--- a/petrelhall/members/speaker.py
+++ b/petrelhall/members/speaker.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from petrelhall.events import Send
 from petrelhall.members import words
-from petrelhall.members.events import Send
 from petrelhall.members.words import Word
 
 if TYPE_CHECKING:
--- a/petrelhall/quota/ledger.py
+++ b/petrelhall/quota/ledger.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from petrelhall.events import Dropped, Send
 from petrelhall.quota import words
 from petrelhall.quota.shares import LIFE_MS, Share, Terms
 from petrelhall.quota.words import Entry, Word
@@ -29,22 +30,7 @@
 MOST_ACCOUNTS = 20000
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Tell a gateway."""
-
-    to: int
-    content: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Dropped:
-    """A word or a loan was not taken; ``why`` is counted."""
-
-    why: str
-
-
-Action = Send | Dropped
+Action = Send[int] | Dropped
 
 
 @dataclass(slots=True)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -19,10 +19,11 @@
 from petrelhall.decide.policy import KEEP_MS, Gateway
 from petrelhall.emulate.exchange import explore as explore_counter
 from petrelhall.emulate.quota import explore, fleet
+from petrelhall.events import Dropped, Send
 from petrelhall.gateway.sharing import IDLE_MS, Owned, Sharing
 from petrelhall.quota.bound import STATES, bounds, worst
 from petrelhall.quota.exchange import Call, Desk, Exchange
-from petrelhall.quota.ledger import ARRIVE_MS, TURN_MS, Account, Dropped, Ledger, Send
+from petrelhall.quota.ledger import ARRIVE_MS, TURN_MS, Account, Ledger
 from petrelhall.quota.shares import MARGIN, SKEW_MS, Share, Terms
 from petrelhall.quota.words import ROOM, Entry, Word, decode, encode
 from petrelhall.standins.meter import Meter
