Consensus: a proposal answered without the whole view, shorter functions, names

Agreement.propose built the whole view, with every member, decision and change, to find the row of one change; it takes that row alone now (view.change_row), and a test holds it against what the view shows. Proposals.follow and Recovery.recover are each split into functions of one step. Comments and doc strings of the package say message and incarnation for word and life.

--- a/petrelhall/accord/change.py
+++ b/petrelhall/accord/change.py
@@ -9,7 +9,7 @@
 
 State = Literal["checking", "deciding", "decided", "in force", "nowhere", "not known"]
 ENDS: frozenset[State] = frozenset(("in force", "nowhere"))
-MEMBER_BITS, LIFE_BITS = 12, 31  # of a ballot's number, for who began it, in which life
+MEMBER_BITS, LIFE_BITS = 12, 31  # of a ballot's number, for who began it, in which incarnation
 
 
 @dataclass(slots=True)
@@ -23,7 +23,7 @@
     promises: dict[int, tuple[int, bytes]] = field(default_factory=dict)
     value: bytes = b""  # proposed, once a majority has promised
     votes: set[int] = field(default_factory=set)
-    asked: float = float("-inf")  # when the last word of it went out
+    asked: float = float("-inf")  # when the last message of it went out
 
     def open(self, now: float, pace: Pace) -> bool:
         """Tell whether its votes still count."""
@@ -44,7 +44,7 @@
 
 
 def ballot_number(after: int, member: int, life: int) -> int:
-    """Give the number of a ballot that is later than another, and nobody else's: no earlier life's of this member."""
+    """Give the number of a ballot that is later than another, and nobody else's, nor an earlier incarnation's."""
     bits = MEMBER_BITS + LIFE_BITS
     return ((after >> bits) + 1) << bits | member << LIFE_BITS | life & (1 << LIFE_BITS) - 1
 
--- a/petrelhall/accord/core.py
+++ b/petrelhall/accord/core.py
@@ -3,8 +3,8 @@
 What is in force is the last document of a row of decisions, one for each version, each made by a ballot of the voters
 (single-decree Paxos). A gateway serves under a version only while it holds a lease on it that a majority granted; the
 voters see to it that no two versions can be held at once (``votes``). A process that starts empty has forgotten its
-promises: it does nothing until no lease and no ballot can be left in which its earlier life took part, and then learns
-from a majority before it votes.
+promises: it does nothing until no lease and no ballot can be left in which its earlier incarnation took part, and then
+learns from a majority before it votes.
 """
 
 from __future__ import annotations
--- a/petrelhall/accord/plan.py
+++ b/petrelhall/accord/plan.py
@@ -2,7 +2,7 @@
 
 With n members of which k vote, and a share s of the m messages a second that a gateway takes in:
 
-    words a second          r = s m
+    messages a second       r = s m
     between two asks        p = max(lease / 3, 2 (n + k) / r)     a voter hears n asks in that time and answers them
     where there is no lease p / 2 at most, q = max(100 ms, k / r) where few ask
     a lease                 l = max(lease, 3 p) + hold
@@ -17,9 +17,9 @@
 RHO = 0.01  # by which the rate of a gateway's monotonic clock may be wrong, either way
 MARGIN = 1.03  # > (1 + RHO) / (1 - RHO)
 ASKS = 3.0  # in the time of a lease
-EACH = 10.0  # members, for each so many of which as many words as one takes in may go out
+EACH = 10.0  # members, for each so many of which as many messages as one takes in may go out
 LEAST_RETRY_MS = 100.0
-STEPS_OF_A_BALLOT = 6.0  # ways there and back that its two rounds may take, with words lost
+STEPS_OF_A_BALLOT = 6.0  # ways there and back that its two rounds may take, with messages lost
 LEAST_BALLOT_MS = 1500.0
 
 
@@ -34,7 +34,7 @@
     life_ms: float  # of a lease
     ballot_ms: float
     again_ms: float  # between two asks where there is no lease
-    retry_ms: float  # between two other words of one kind to one gateway that has not answered
+    retry_ms: float  # between two other messages of one kind to one gateway that has not answered
     strictest: bool  # whether two versions of which either may be in force are served by the stricter of each field
 
     @property
@@ -44,12 +44,12 @@
 
     @property
     def out_per_s(self) -> float:
-        """Give the words a second that may go out: what counts is what each takes in, and many hear of one."""
+        """Give the messages a second that may go out: what counts is what each takes in, and many hear of one."""
         return self.words_per_s * max(1.0, self.members / EACH)
 
     @property
     def fence_ms(self) -> float:
-        """Give the time after a start in which a process does nothing that its earlier life may have promised not to.
+        """Give the time after a start in which a process does nothing that an earlier one may have promised not to.
 
         By then all leases that it granted have run out, and no ballot is open in which it voted.
         """
--- a/petrelhall/accord/proposals.py
+++ b/petrelhall/accord/proposals.py
@@ -89,36 +89,7 @@
         if core.known.version >= change.slot:
             return self.outcome(now, change)
         if change.state == "checking":
-            if core.voter is not None and core.voter.remembers and now >= core.voter.fence:
-                change.holders[core.number] = core.voter.holders(now)
-            needed = change.needed(core.pace)
-            if needed is not None and all(change.opinions.get(number) == 1 for number in needed):
-                change.state = "deciding"
-                return
-            if now - change.began > self.patience(change):
-                silent = sorted((needed or set(core.pace.voters)) - set(change.opinions))
-                behind = sorted(number for number, verdict in change.opinions.items() if not verdict)
-                return self.end(
-                    now,
-                    change,
-                    "nowhere",
-                    {-1: (f"no answer from {silent}" if silent else f"{behind} have not got the whole of it")},
-                )
-            if now - change.asked >= 1.5 * core.pace.retry_ms:
-                change.asked = now
-                content = core.documents.held.get(change.digest, b"")
-                message = words.Check(
-                    core.life, change.slot, change.digest, change.before, content if len(content) <= words.DATA else b""
-                )
-                others = [number for number in range(core.pace.members) if number != core.number]
-                voters = [number for number in others if number in core.pace.voters]
-                rest = [
-                    number for number in others if number not in core.pace.voters and not change.opinions.get(number)
-                ]
-                core.random.shuffle(rest)
-                for number in voters + rest:
-                    if not core.outbox.send(number, message, 2.0 * len(core.pace.voters)):
-                        break
+            self.follow_checks(now, change)
         elif change.state == "deciding" and now - change.began > self.patience(change) + GIVE_UP * core.pace.ballot_ms:
             if change.voted_on or change.settles:
                 change.end(now, "not known")
@@ -126,6 +97,37 @@
             else:
                 self.end(now, change, "nowhere", {-1: "no majority of the voters answered"})
 
+    def follow_checks(self, now: float, change: Change) -> None:
+        """Have a change decided once all that may serve have checked it; ask them again, or end it after its time."""
+        core = self.core
+        if core.voter is not None and core.voter.remembers and now >= core.voter.fence:
+            change.holders[core.number] = core.voter.holders(now)
+        needed = change.needed(core.pace)
+        if needed is not None and all(change.opinions.get(number) == 1 for number in needed):
+            change.state = "deciding"
+        elif now - change.began > self.patience(change):
+            silent = sorted((needed or set(core.pace.voters)) - set(change.opinions))
+            behind = sorted(number for number, verdict in change.opinions.items() if not verdict)
+            reason = f"no answer from {silent}" if silent else f"{behind} have not got the whole of it"
+            self.end(now, change, "nowhere", {-1: reason})
+        elif now - change.asked >= 1.5 * core.pace.retry_ms:
+            self.ask_for_checks(now, change)
+
+    def ask_for_checks(self, now: float, change: Change) -> None:
+        """Ask all voters for their opinions, and of the others those that have none yet."""
+        core = self.core
+        change.asked = now
+        content = core.documents.held.get(change.digest, b"")
+        whole = content if len(content) <= words.DATA else b""
+        message = words.Check(core.life, change.slot, change.digest, change.before, whole)
+        others = [number for number in range(core.pace.members) if number != core.number]
+        voters = [number for number in others if number in core.pace.voters]
+        rest = [number for number in others if number not in core.pace.voters and not change.opinions.get(number)]
+        core.random.shuffle(rest)
+        for number in voters + rest:
+            if not core.outbox.send(number, message, 2.0 * len(core.pace.voters)):
+                break
+
     def patience(self, change: Change) -> float:
         """Give the time in which all must have looked at a change: a long document takes its time to come."""
         core = self.core
--- a/petrelhall/accord/recovery.py
+++ b/petrelhall/accord/recovery.py
@@ -20,13 +20,13 @@
         self.core = core
         self.query: tuple[int, dict[int, words.State]] | None = None
         self.queried = -math.inf
-        self.roots: tuple[int, ...] = ()  # lives of all voters, in their order, where they began together
+        self.roots: tuple[int, ...] = ()  # incarnations of all voters, in their order, where they began together
         self.begin_at = math.inf  # from when on voters that are not heard count as gone, by an operator's order
 
     def recover(self, now: float) -> None:
         """Learn what is in force; as a voter, ask for all there is to be remembered, once nothing can be left.
 
-        What a majority voted on, this gateway's earlier life among them, at least one of the voters knows that
+        What a majority voted on, this gateway's earlier incarnation among them, at least one of the voters knows that
         remember, where all but one fewer than a majority do.
         """
         core = self.core
@@ -37,37 +37,45 @@
         if learns and self.query is None:
             self.query = core.random.getrandbits(40) + 1, {}
         nonce, answers = self.query or (0, {})
-        others = core.pace.voters - {core.number}
         if learns:
-            remembering = [state for state in answers.values() if state.remembers]
-            empty = {number: state.digest for number, state in answers.items() if not state.remembers}
-            missing = (others - set(answers)) if now < self.begin_at else set()
-            if len(remembering) > len(core.pace.voters) - core.pace.majority or (
-                remembering and not missing and now >= self.begin_at
-            ):
-                return self.remembers(now, best([memory_of(state) for state in remembering]), answers)
-            differ = sorted(number for number, digest in empty.items() if digest != core.file)
-            if not missing and not remembering and not differ:  # nobody knows anything: all began together
-                self.roots = tuple(
-                    answers[number].life if number in answers else core.life * (number == core.number)
-                    for number in sorted(core.pace.voters)
-                )
-                return self.remembers(now, Memory(0, core.file), answers)
-            place = sorted(core.pace.voters).index(core.number)
-            for state in remembering:  # who began with this very process, which has not voted on anything since
-                if state.roots and state.roots[place] == core.life:
-                    self.roots = state.roots
-                    return self.remembers(now, Memory(0, core.file), answers)
-            core.trouble = (
-                f"started empty, and the shared part of the file differs from that of {differ}"
-                if differ and not remembering
-                else f"started empty: {len(remembering)} voters that remember were heard"
-                + (f", {sorted(missing)} are silent" if missing else "")
-            )
+            memory = self.memory_from(now, answers)
+            if memory is not None:
+                return self.remembers(now, memory, answers)
         self.queried = now
-        for number in others:  # also those that answered: one that was empty may remember by now
+        # Also those that answered: one that was empty may remember by now.
+        for number in core.pace.voters - {core.number}:
             core.outbox.send(number, words.Query(core.life, nonce))
 
+    def memory_from(self, now: float, answers: dict[int, words.State]) -> Memory | None:
+        """Give what this voter is to remember by what others answered; None, and why, while that is not known."""
+        core = self.core
+        remembering = [state for state in answers.values() if state.remembers]
+        empty = {number: state.digest for number, state in answers.items() if not state.remembers}
+        missing = (core.pace.voters - {core.number} - set(answers)) if now < self.begin_at else set()
+        if len(remembering) > len(core.pace.voters) - core.pace.majority or (
+            remembering and not missing and now >= self.begin_at
+        ):
+            return best([memory_of(state) for state in remembering])
+        differ = sorted(number for number, digest in empty.items() if digest != core.file)
+        if not missing and not remembering and not differ:  # nobody knows anything: all began together
+            self.roots = tuple(
+                answers[number].life if number in answers else core.life * (number == core.number)
+                for number in sorted(core.pace.voters)
+            )
+            return Memory(0, core.file)
+        place = sorted(core.pace.voters).index(core.number)
+        for state in remembering:  # who began with this very process, which has not voted on anything since
+            if state.roots and state.roots[place] == core.life:
+                self.roots = state.roots
+                return Memory(0, core.file)
+        core.trouble = (
+            f"started empty, and the shared part of the file differs from that of {differ}"
+            if differ and not remembering
+            else f"started empty: {len(remembering)} voters that remember were heard"
+            + (f", {sorted(missing)} are silent" if missing else "")
+        )
+        return None
+
     def remembers(self, now: float, memory: Memory, answers: dict[int, words.State]) -> None:
         """Vote from now on."""
         core = self.core
--- a/petrelhall/accord/view.py
+++ b/petrelhall/accord/view.py
@@ -4,12 +4,25 @@
 
 from typing import TYPE_CHECKING, Any
 
+from petrelhall.accord.change import Change
 from petrelhall.accord.words import FULL
 
 if TYPE_CHECKING:
     from petrelhall.accord.core import Accord
 
 
+def change_row(change: Change, now: float) -> dict[str, Any]:
+    """Give one change of an operator's."""
+    return {
+        "digest": change.digest.hex(),
+        "version": change.slot,
+        "state": change.state,
+        "settles": change.settles,
+        "took_ms": round((change.ended or now) - change.began),
+        "reasons": {str(number): reason for number, reason in change.reasons.items()},
+    }
+
+
 def view(core: Accord, now: float) -> dict[str, Any]:
     """Give all of it as JSON's values."""
     state = "unsure"
@@ -44,17 +57,7 @@
             for number, (version, at) in sorted(core.leases.versions.items())
         ],
         "history": [{"version": version, "digest": digest.hex()} for version, digest in core.history],
-        "changes": [
-            {
-                "digest": change.digest.hex(),
-                "version": change.slot,
-                "state": change.state,
-                "settles": change.settles,
-                "took_ms": round((change.ended or now) - change.began),
-                "reasons": {str(number): reason for number, reason in change.reasons.items()},
-            }
-            for change in core.changes
-        ],
+        "changes": [change_row(change, now) for change in core.changes],
         "pace": {
             "life_ms": round(core.pace.life_ms),
             "ask_ms": round(core.pace.ask_ms),
--- a/petrelhall/accord/votes.py
+++ b/petrelhall/accord/votes.py
@@ -52,8 +52,8 @@
 
     def __init__(self, pace: Pace, memory: Memory | None, now: float) -> None:
         self.pace, self.remembers, self.memory = pace, memory is not None, memory or Memory()
-        self.fence = now + pace.fence_ms  # before, an earlier life's grants may hold and its ballots be open
-        self.grants: dict[tuple[int, int], tuple[int, float]] = {}  # by member and life: version, until when
+        self.fence = now + pace.fence_ms  # before, an earlier incarnation's grants may hold and its ballots be open
+        self.grants: dict[tuple[int, int], tuple[int, float]] = {}  # by member and incarnation: version, until when
         self.waiting: dict[int, Ask] = {}  # by member: asks that found this voter not clear
         self.accepted_at = now
 
--- a/petrelhall/accord/words.py
+++ b/petrelhall/accord/words.py
@@ -1,6 +1,7 @@
-"""The words of agreement: MessagePack in a frame of kind, version, fleet and a CRC-32; at most 256 bytes.
+"""The messages of agreement: MessagePack in a frame of kind, version, fleet and a CRC-32; at most 256 bytes.
 
-Every word carries the life of its sender's process; an answer names the life that it answers, and what it answers.
+Every message carries the incarnation of its sender's process; an answer names the incarnation that it answers, and
+what it answers.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 KIND, VERSION = 0x41, 1
 MOST = 256
 FRAME, SUM = struct.Struct("<BBHH"), struct.Struct("<I")
-DATA = 160  # bytes of a document in one word
+DATA = 160  # bytes of a document in one message
 REASON = 60  # characters of a reason told
 HISTORY = 6  # decisions told at once
 NONE, EITHER, FULL = 0, 1, 2  # a lease: none, on this version or the one before by the stricter of both, on this one
@@ -25,7 +26,7 @@
 
 
 class Word(Struct, frozen=True, array_like=True):
-    """What all words have."""
+    """What all messages have."""
 
     life: Whole
 
@@ -111,7 +112,7 @@
 class State(Word, frozen=True, array_like=True, tag=10):
     """Answers with all that a voter must not forget; ``remembers`` tells whether it does.
 
-    ``roots``: the lives of all voters, in their order, where they began together and nobody knew of anything.
+    ``roots``: the incarnations of all voters, in their order, where they began together and nobody knew of anything.
     """
 
     to: Whole
@@ -189,7 +190,7 @@
     | Piece
     | Older
 )
-# The words by which a change comes about, in their order: the tests go through all of them, so that none is forgotten.
+# The messages by which a change comes about, in their order: the tests go through all, so that none is forgotten.
 STEPS: tuple[type[Word], ...] = (Check, Opinion, Prepare, Promise, Accept, Accepted, Decided, Ask, Grant)
 
 DECODER: msgspec.msgpack.Decoder[AnyWord] = msgspec.msgpack.Decoder(AnyWord)
@@ -197,13 +198,13 @@
 
 
 def encode(word: AnyWord, members: int, voters: int) -> bytes:
-    """Write a word."""
+    """Write a message."""
     body = FRAME.pack(KIND, VERSION, members, voters) + ENCODER.encode(word)
     return body + SUM.pack(zlib.crc32(body))
 
 
 def decode(content: bytes, members: int, voters: int) -> AnyWord | str:
-    """Read a word, or say why it is none: spoilt, or of another version or fleet."""
+    """Read a message, or say why it is none: spoilt, or of another version or fleet."""
     if not FRAME.size + SUM.size < len(content) <= MOST or content[0] != KIND:
         return "spoilt"
     if SUM.unpack(content[-SUM.size :])[0] != zlib.crc32(content[: -SUM.size]):
--- a/petrelhall/gateway/agreement.py
+++ b/petrelhall/gateway/agreement.py
@@ -33,6 +33,7 @@
 )
 from petrelhall.accord.documents import digest_of
 from petrelhall.accord.plan import pace
+from petrelhall.accord.view import change_row
 from petrelhall.accord.votes import Memory
 from petrelhall.accord.words import FULL, KIND
 from petrelhall.control.calls import Policy
@@ -302,8 +303,8 @@
                 return 400, {"error": str(error)}
             return self.propose(content, call.base)
         if call.what == "back":
-            version = dict(self.core.history)
-            content = self.core.documents.held.get(version.get(call.base - 1, b""), b"")
+            before = self.core.history.digest(call.base - 1) or b""
+            content = self.core.documents.held.get(before, b"")
             if not content:
                 return 409, {"error": f"this gateway does not hold the document of version {call.base - 1}"}
             return self.propose(content, call.base)
@@ -318,10 +319,6 @@
     def propose(self, content: bytes, base: int) -> tuple[int, dict[str, Any]]:
         """Propose a document in place of a version."""
         self.handle(Propose(content, base))
-        digest = digest_of(content).hex()
-        found = [
-            change
-            for change in self.core.view(now_ms())["changes"]
-            if (change["digest"], change["version"]) == (digest, base + 1)
-        ]
-        return (409 if found[-1]["state"] == "nowhere" else 200), found[-1]
+        digest = digest_of(content)
+        change = [change for change in self.core.changes if (change.digest, change.slot) == (digest, base + 1)][-1]
+        return (409 if change.state == "nowhere" else 200), change_row(change, now_ms())
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -11,6 +11,7 @@
 import signal
 import tempfile
 import unittest
+from functools import partial
 from types import SimpleNamespace
 from typing import Any
 
@@ -239,6 +240,15 @@
         self.assertEqual(self.ends(world, 3), ["in force"])
         self.assertEqual(world.cores[3].owed(world.clock(3)), [])
 
+    def test_an_operator_is_answered_with_the_row_of_the_change_that_the_view_shows(self) -> None:
+        for content, base, status in ((b"one", 0, 200), (b"bad", 0, 409), (b"two", 1, 409)):
+            core, now = self.world().cores[2], 1e9
+            shell = SimpleNamespace(core=core, handle=partial(core.handle, now))
+            told, row = Agreement.propose(shell, content, base)  # type: ignore[arg-type]
+            (shown,) = core.view(now)["changes"]
+            self.assertEqual((told, row | {"took_ms": 0}), (status, shown | {"took_ms": 0}))
+            self.assertEqual((row["digest"], row["version"]), (digest_of(content).hex(), base + 1))
+
     def test_two_operators_at_once_get_one_change_in_and_the_other_told_so(self) -> None:
         world = self.world(FIVE)
         for number, content in ((0, b"one"), (4, b"other")):
