Membership: comments and locals say message and incarnation

The core of membership and the modules split from it spoke of words and lives where the field says message and incarnation; comments, doc strings and local names change, nothing that other modules or the wire's table name.

--- a/petrelhall/members/core.py
+++ b/petrelhall/members/core.py
@@ -3,7 +3,7 @@
 What can be known: a dead gateway, a stopped one and one cut off look alike, and nobody can tell alone which side of a
 cut it is on. The rule that is safe either way: silence makes a doubt; a doubt becomes a failure only where several
 observers miss the member, a majority of all members hears each other both ways, and this process was not itself away.
-A minority fails nobody. A life that was replaced or that left never returns; one that only fell silent does.
+A minority fails nobody. An incarnation that was replaced or that left never returns; one that only fell silent does.
 
 That a member lives is told by its counter, which steps while it runs and which every gateway passes on as far as it
 knows it: news of a dead one cannot arise, and a link that is cut hides nobody whom others still hear. That a link
@@ -152,50 +152,50 @@
     # Hearing
 
     def on_word(self, now: float, sender: int, content: bytes) -> None:
-        """Take in a word."""
+        """Take in a message."""
         member = self.members.get(sender)
         if member is None:
             return self.drop("foreign")
-        word = words.decode(content)
-        if word is None:
+        message = words.decode(content)
+        if message is None:
             return self.drop("spoilt")
-        if word.of != self.pace.members:
+        if message.of != self.pace.members:
             return self.drop("foreign")
-        if word.number != sender:
-            return self.clash(now, sender, word.number)
-        if member.life and newer(member.life, word.life):
+        if message.number != sender:
+            return self.clash(now, sender, message.number)
+        if member.life and newer(member.life, message.life):
             self.news.again(sender)  # it may not know that it is replaced
             self.recipients.hurry(sender)
             return self.drop("dead_life")
-        if word.life != member.life:
-            self.begin(now, sender, word.life, word.counter)
-        elif not newer(word.seq, member.seq):
+        if message.life != member.life:
+            self.begin(now, sender, message.life, message.counter)
+        elif not newer(message.seq, member.seq):
             return self.drop("late")
-        elif member.state == "left" and not word.flags & words.LEAVING:
+        elif member.state == "left" and not message.flags & words.LEAVING:
             return self.drop("dead_life")
-        member.seq, member.heard, member.spoke = word.seq, now, now
-        member.old = bool(word.flags & words.OLD)
-        mask = ((1 << words.SEGMENT) - 1) << word.segment if word.of > words.SEGMENT else -1
-        member.hears = member.hears & ~mask | word.hears << word.segment
-        member.misses = member.misses & ~mask | word.misses << word.segment
-        if word.flags & words.LEAVING:
+        member.seq, member.heard, member.spoke = message.seq, now, now
+        member.old = bool(message.flags & words.OLD)
+        mask = ((1 << words.SEGMENT) - 1) << message.segment if message.of > words.SEGMENT else -1
+        member.hears = member.hears & ~mask | message.hears << message.segment
+        member.misses = member.misses & ~mask | message.misses << message.segment
+        if message.flags & words.LEAVING:
             if member.state != "left":
                 self.put(now, sender, "left", "said so")
         else:
-            member.counter, member.fresh = word.counter, now
+            member.counter, member.fresh = message.counter, now
             self.known(sender)
             self.back(now, sender, "heard")
         if member.misses >> self.number & 1:
-            self.recipients.hurry(sender)  # a word of this gateway's own refutes its doubt
-        self.on_table(now, sender, word)
-        for entry in word.lives:
+            self.recipients.hurry(sender)  # a message of this gateway's own refutes its doubt
+        self.on_table(now, sender, message)
+        for entry in message.lives:
             self.on_life(now, *entry)
-        self.accused[sender] = now, word.bad
+        self.accused[sender] = now, message.bad
 
-    def on_table(self, now: float, sender: int, word: Word) -> None:
-        """Take in how far the sender knows others to be: only for lives held here, and none long silent."""
-        of, table, own = word.of, word.table, self.table
-        number = word.start - 1
+    def on_table(self, now: float, sender: int, message: Word) -> None:
+        """Take in how far the sender knows others to be: only for incarnations held here, and none long silent."""
+        of, table, own = message.of, message.table, self.table
+        number = message.start - 1
         for at in range(1, len(table), 2):
             number = number + 1 if number + 1 < of else 0
             ahead = table[at] - own[2 * number + 1] & 255
@@ -218,7 +218,7 @@
                     self.back(now, number, f"told by {sender}")
 
     def on_life(self, now: float, number: int, life: int, counter: int, held: int) -> None:
-        """Take in what another knows of a life: with the whole counter, which can bring back one that failed."""
+        """Take in what another knows of an incarnation: its whole counter can bring back one that failed."""
         if number == self.number:
             if newer(life, self.life) or (life == self.life and held == words.LEFT and not self.leaving):
                 self.life, self.speaker.seq, self.counter = (
@@ -241,7 +241,7 @@
                 self.back(now, number, "told by others")
 
     def begin(self, now: float, number: int, life: int, counter: int, held: int = words.HERE) -> None:
-        """A life begins for this gateway: all that was known of the one before is dead."""
+        """An incarnation begins for this gateway: all that was known of the one before is dead."""
         member = self.members[number]
         member.life, member.counter, member.seq, member.fresh = life, counter, 0, now
         member.hears, member.misses, member.begun = 0, 0, now
@@ -268,13 +268,13 @@
             member.clashed = now
 
     def drop(self, why: str) -> None:
-        """Count a word that was not taken."""
+        """Count a message that was not taken."""
         self.actions.append(Dropped(why))
 
     def known(self, number: int) -> None:
-        """Keep what words tell of a member: the low bytes of its life and counter.
+        """Keep what messages tell of a member: the low bytes of its incarnation and counter.
 
-        Of one that is not here nothing is told: another life's mark makes it nobody's.
+        Of one that is not here nothing is told: another incarnation's mark makes it nobody's.
         """
         member = self.members.get(number, self)
         stale = isinstance(member, Member) and member.state != "here"
@@ -287,7 +287,7 @@
         return len(self.side) >= self.pace.majority and not self.old(now)
 
     def accuse(self, boxes: Iterable[str]) -> None:
-        """Have the next words name the boxes that this gateway finds bad."""
+        """Have the next messages name the boxes that this gateway finds bad."""
         self.bad = tuple(itertools.islice(map(code, boxes), words.BAD_MOST))
 
     def accusers(self, now: float) -> dict[int, tuple[int, ...]]:
@@ -301,7 +301,7 @@
         }
 
     def digest(self) -> str:
-        """Give one text for who is there and in which life: equal where two views are."""
+        """Give one text for who is there and in which incarnation: equal where two views are."""
         return view.digest(self)
 
     def view(self, now: float, names: dict[int, str]) -> dict[str, Any]:
--- a/petrelhall/members/events.py
+++ b/petrelhall/members/events.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Changed:
-    """A member's state or life has changed here, or this process found that it was away (``number`` its own)."""
+    """A member's state or incarnation has changed here, or this process found that it was away (``number`` its own)."""
 
     number: int
     state: str
--- a/petrelhall/members/news.py
+++ b/petrelhall/members/news.py
@@ -26,7 +26,7 @@
         self.times[number] = max(self.times.get(number, 0), 3)
 
     def take(self, most: int, young: bool) -> tuple[tuple[int, int, int, int], ...]:
-        """Give lives to tell of: news first, then some in turn; to one that is ``young`` all that there is room for."""
+        """Give incarnations to tell of: news first, then some in turn; to a ``young`` one all that has room."""
         told = []
         for number in list(self.times)[:most]:
             self.times[number] -= 1
--- a/petrelhall/members/view.py
+++ b/petrelhall/members/view.py
@@ -10,7 +10,7 @@
 
 
 def digest(core: Members) -> str:
-    """Give one text for who is there and in which life: equal where two views are."""
+    """Give one text for who is there and in which incarnation: equal where two views are."""
     known = {number: (member.state, member.life) for number, member in core.members.items()}
     known[core.number] = ("left" if core.leaving else "here", core.life)
     return f"{zlib.crc32(repr(sorted(known.items())).encode()):08x}"
