--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -11,6 +11,7 @@
 import signal
 import tempfile
 import unittest
+from functools import partial
 from types import SimpleNamespace
 from typing import Any
 
@@ -239,6 +240,15 @@
         self.assertEqual(self.ends(world, 3), ["in force"])
         self.assertEqual(world.cores[3].owed(world.clock(3)), [])
 
+    def test_an_operator_is_answered_with_the_row_of_the_change_that_the_view_shows(self) -> None:
+        for content, base, status in ((b"one", 0, 200), (b"bad", 0, 409), (b"two", 1, 409)):
+            core, now = self.world().cores[2], 1e9
+            shell = SimpleNamespace(core=core, handle=partial(core.handle, now))
+            told, row = Agreement.propose(shell, content, base)  # type: ignore[arg-type]
+            (shown,) = core.view(now)["changes"]
+            self.assertEqual((told, row | {"took_ms": 0}), (status, shown | {"took_ms": 0}))
+            self.assertEqual((row["digest"], row["version"]), (digest_of(content).hex(), base + 1))
+
     def test_two_operators_at_once_get_one_change_in_and_the_other_told_so(self) -> None:
         world = self.world(FIVE)
         for number, content in ((0, b"one"), (4, b"other")):
@@ -299,7 +309,7 @@
             world.take(CALM)
         self.assertEqual(self.versions(world), [1, 1, -1, 1, 1])
         self.assertIn("not here", world.cores[2].view(world.clock(2))["why"])
-        world.cores[2].check = lambda content: ""  # its file was mended
+        world.cores[2].checks.check = lambda content: ""  # its file was mended
         Agreement.look_again(SimpleNamespace(core=world.cores[2]))  # type: ignore[arg-type]
         world.take(CALM)
         self.assertEqual(self.versions(world), [1] * 5)
@@ -459,7 +469,7 @@
             for voter in (1, 2):  # as a process that stood still would find them waiting
                 if core.ballot is not None:
                     vote = words.encode(words.Accepted(9, core.life, 1, 77), 3, 3)
-                    core.on_word(now, voter, vote)
+                    core.on_message(now, voter, vote)
             self.assertEqual(core.known.version, version)
         self.worlds.remove(world)  # nobody has such a document
 
@@ -481,15 +491,15 @@
             core.may_vote = False
             late = 5.0 * PACE.fence_ms
             core.handle(late, Tick())
-            self.assertEqual(core.query, None)  # it asks nobody what to remember while the other may still vote
+            self.assertEqual(core.recovery.query, None)  # it asks nobody what to remember while the other may vote
             core.take_over(late, memory, (b"three",))
             assert core.voter is not None
             self.assertEqual((core.voter.fence, core.voter.remembers), (late + PACE.fence_ms, memory is not None))
             self.assertEqual(core.voter.memory, memory or Memory())
             core.handle(late + PACE.fence_ms - 1.0, Tick())
-            self.assertEqual(core.query, None)  # nor while ballots may be open in which that one voted
+            self.assertEqual(core.recovery.query, None)  # nor while ballots may be open in which that one voted
             core.handle(late + PACE.fence_ms + PACE.retry_ms, Tick())
-            self.assertEqual(core.query is not None, memory is None)
+            self.assertEqual(core.recovery.query is not None, memory is None)
 
     def test_one_that_does_not_remember_writes_nothing_down_that_would_pass_for_a_memory(self) -> None:
         core = Accord(0, 1, PACE, FILE, lambda content: "", 1, 0.0)
