A request's wait in the kernel is taken off its time; room for as many as wait

Ruled out: slow heads (the last byte counts), waits in the module (inside the time), descriptors (0 times none). Change: the loop knows since when what a look found ready may have come, the listener since when it was last known to be empty; from 20 ms on the wait is taken off (Front.without_wait). make_room ends as many as were accepted since then, a quarter of all at most.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -27,7 +27,10 @@
 # 2 s (the operators' days), so each byte come earns it the time of two at that pace. A trickle earns nothing.
 MS_PER_BYTE = 2 * 1000.0 / 64000.0
 SWEEP_MS = 200.0  # between two looks for connections whose time is up
-ROOM = 8  # connections ended at once where there are too many
+ROOM = 8  # connections ended at once where there are too many, and more while many are seen to wait
+MOST_ROOM = 0.25  # of all clients: so many at most
+# What a request has waited for in the kernel is taken off its time from here on; an ordinary turn takes less.
+WAITED_MS = 20.0
 SEND_MS = 10000.0  # in which a client must have read its answer
 STALL_MS = 4000.0  # in which a flowing answer must move on, from the server and to the client
 # An answer may flow for FLOW_MS, and for as long again as its bytes take at 4 kB/s: a trickle ends some time.
@@ -109,6 +112,8 @@
         self.listener = bound(address)
         self.listener.listen(BACKLOG)
         self.accepting = self.starved = self.crowded = False
+        self.queued_since = self.watched_at = self.ready_at = now_ms()  # known empty; watched; told of (Unix ms)
+        self.accepted = 0  # connections taken since it was known to be empty
         self.accept_more()
         loop.after(SWEEP_MS, self.sweep)
 
@@ -117,7 +122,7 @@
     def accept_more(self) -> None:
         """Watch the listener."""
         if not self.accepting and not self.closing:
-            self.accepting = True
+            self.accepting, self.watched_at = True, now_ms()
             self.loop.register(self.listener.fileno(), select.EPOLLIN, self.on_ready)
 
     def accept_less(self) -> None:
@@ -128,6 +133,9 @@
 
     def on_ready(self, mask: int) -> None:
         """Take what connections there are."""
+        if max(self.watched_at, self.ready_at) < self.loop.looked_before:  # the look before would have told of it
+            self.queued_since, self.accepted = self.loop.unseen_since, 0
+        self.ready_at = self.loop.looked_at
         for _ in range(AT_ONCE):
             if not self.accept():
                 return
@@ -143,6 +151,7 @@
         try:
             sock, _ = self.listener.accept()
         except BlockingIOError:
+            self.queued_since, self.accepted = now_ms(), 0
             return False
         except OSError as error:
             if self.listener.fileno() < 0:  # closed: nothing can come any more
@@ -155,10 +164,12 @@
                 return False
             return True  # that one has left already
         self.counts.add("connections", "from_clients")
+        self.accepted += 1
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = Stream(self.loop, sock, lambda: None)
         stream.tell_close = stream.sift = True  # a client that leaves behind a flood has left all the same
+        stream.queued_since = self.queued_since
         client = Client(stream, self.room, self.wording.request)
         self.clients.add(client)
         client.stream.notify = self.loop.spawn(self.converse(client)).wake
@@ -174,8 +185,10 @@
         if len(self.clients) >= self.most:
             free = [client for client in self.clients if not client.busy]
             free.sort(key=lambda c: (c.answered, c.http.begun, c.since))
-            # Those that are being ended hold their descriptors for a moment more: that many fewer need to go.
-            free = free[: max(0, ROOM - self.ending)]
+            # As many as have come without an end so far: where hundreds wait, eight at a time would let them wait
+            # for seconds. Those that are being ended hold their descriptors for a moment more: that many fewer.
+            wanted = max(ROOM, min(self.accepted, int(MOST_ROOM * self.most)))
+            free = free[: max(0, wanted - self.ending)]
             for client in free:
                 self.counts.add("connections", "made_room")
                 client.until = 0.0
@@ -227,6 +240,8 @@
             keep = client.http.answer(status, [], body, self.leaving)
         else:
             request = self.wording.request(asked) if isinstance(asked, Message) else asked
+            if isinstance(request, Request) and isinstance(asked, Message) and asked.rest is None:
+                request = without_wait(request, now_ms() - client.stream.came_since)
             if isinstance(request, Request) and request.left_ms > self.end_by - now_ms():
                 request = replace(request, left_ms=max(1.0, self.end_by - now_ms()))
             if isinstance(request, Request) and request.name in self.names:
@@ -443,3 +458,13 @@
             self.listener.close()
         if not self.clients and not self.starved:
             self.on_empty()
+
+
+def without_wait(request: Request, waited_ms: float) -> Request:
+    """Take off a request's time what it has waited for in the kernel since its last byte may have come.
+
+    A client counts its time from that byte. Servers and the module must not be told more than is left of it.
+    """
+    if waited_ms < WAITED_MS:
+        return request
+    return replace(request, left_ms=max(1.0, request.left_ms - waited_ms))
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -44,6 +44,9 @@
         "tell_close",
         "sift",
         "flooded",
+        "registered_at",
+        "queued_since",
+        "came_since",
     )
 
     def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object], connecting: bool = False) -> None:
@@ -55,6 +58,9 @@
         self.tell_close = False  # whether its close ends it at once, whatever lies unread before it
         self.sift = False  # whether what comes beyond what is kept is dropped: behind it, no close could be heard
         self.flooded = 0  # bytes dropped so
+        self.registered_at = now_ms()
+        self.queued_since = self.registered_at  # before this time it had not come to the listener (Unix ms)
+        self.came_since = self.registered_at  # before this time the bytes last taken in had not come (Unix ms)
         self.mask = select.EPOLLOUT if connecting else IN
         loop.register(self.fd, self.mask, self.on_ready)
 
@@ -123,6 +129,9 @@
             return self.end(0)
         self.received += len(data)
         self.incoming += data
+        # What came with a connection or before it was registered has waited for as long as the connection has.
+        new = self.registered_at >= self.loop.looked_before
+        self.came_since = self.queued_since if new else self.loop.unseen_since
         if len(self.incoming) > self.keep:
             self.watch()
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import tempfile
+import threading
 import time
 import unittest
 import unittest.mock
@@ -32,8 +33,10 @@
 from petrelhall.links.attempt import Reach
 from petrelhall.links.plan import Plan
 from petrelhall.links.pool import Pool
+from petrelhall.net import loop as net_loop
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Task, now_ms
+from petrelhall.net.stream import Stream
 from petrelhall.operator.settings import Links
 from tests.peers import PATIENCE_S, PROFILE, Story, address, ask, entry, listen, read_message, reply
 
@@ -314,6 +317,57 @@
         self.assertEqual(self.counts.get("connections", "from_clients"), 1)
         self.assertEqual(self.counts.get("taken", "requests"), 0)
 
+    def told_left_ms(self) -> float:
+        """Read the attempt that the server is sent, and give the time that it is told."""
+        head = self.read(self.accept(), b"\r\n\r\n").lower()
+        return float(head.partition(b"x-deadline: ")[2].partition(b"m")[0])
+
+    def test_what_a_request_waited_for_in_a_long_turn_is_not_told_as_left(self) -> None:
+        self.patch(net_loop, WAITED_MS=1000.0)  # a look that a slow machine is late with has not waited
+        made = self.gateway()
+        client = self.client(HEALTH)
+        self.read(client, b"ready\n")
+        client.sendall(ask())
+        (held,) = made.clients
+        held.stream.registered_at -= 3000.0  # long known, and
+        self.loop.looked_at -= 1500.0  # it came at any time of a turn of 1.5 s
+        self.loop.turn()
+        self.assertLessEqual(self.told_left_ms(), 4500.0)
+
+    def test_what_comes_while_nothing_is_done_has_not_waited(self) -> None:
+        far, near = socket.socketpair(socket.AF_UNIX)
+        loop = Loop(self.notes.append)
+        stream = Stream(loop, self.stack.enter_context(near), lambda: None)
+        self.stack.enter_context(far)
+        stream.registered_at -= 3000.0
+        loop.looked_at -= 1500.0  # the turn before was long, but the look at its end finds nothing ready
+        sender = threading.Timer(0.2, far.sendall, (b"x",))
+        self.stack.callback(sender.join)
+        began = now_ms()
+        sender.start()
+        loop.turn()
+        self.assertEqual(stream.incoming, b"x")
+        self.assertGreaterEqual(stream.came_since, began)
+
+    def test_what_a_request_waited_for_in_the_listener_is_not_told_as_left(self) -> None:
+        made = self.gateway(most=1)
+        self.read(self.client(HEALTH), b"ready\n")
+        self.turn_until(lambda: not made.accepting)
+        self.client(ask())
+        made.queued_since -= 1500.0  # nothing was taken from the listener for so long
+        self.assertLessEqual(self.told_left_ms(), 4500.0)
+
+    def test_an_empty_listener_is_known_to_be_empty_where_a_full_house_found_room_again(self) -> None:
+        made = self.gateway(most=1)
+        self.read(self.client(HEALTH), b"ready\n")
+        self.turn_until(lambda: self.counts.get("connections", "made_room") and made.accepting)
+        made.queued_since -= 1500.0  # before the house was full
+        for _ in range(3):  # the listener is watched and nothing is told of it
+            self.loop.after(5.0, lambda: None)
+            self.loop.turn()
+        self.client(ask())
+        self.assertGreater(self.told_left_ms(), 5500.0)
+
     def test_the_module_forgets_an_attempt_decided_on_as_its_client_left(self) -> None:
         made = self.gateway()
         client = self.client(ask())
@@ -376,6 +430,25 @@
         self.assertLess(len(turns), 100.0 + (now_ms() - begin))
         self.assertLessEqual(self.counts.get("connections", "made_room"), front.ROOM + 2)  # the late two among them
 
+    def test_where_many_wait_for_a_place_more_are_made_at_once_and_never_over_a_quarter(self) -> None:
+        self.patch(front, CROWDED_MS=200.0)
+        made = self.gateway(most=80)
+        for _ in range(79):
+            self.read(self.client(HEALTH), b"ready\n")  # they rest, and do not close when they are told of the end
+        late = [self.client(HEALTH) for _ in range(60)]
+        most_ending = 0
+
+        def all_answered() -> bool:
+            nonlocal most_ending
+            most_ending = max(most_ending, made.ending)
+            return self.counts.get("connections", "from_clients") == 139
+
+        self.turn_until(all_answered)
+        for client in late:
+            self.read(client, b"ready\n")
+        self.assertGreater(most_ending, front.ROOM)
+        self.assertLessEqual(most_ending, 20)
+
     def test_an_answer_that_trickles_without_end_is_cut_off_in_time(self) -> None:
         self.patch(front, FLOW_MS=200.0, FLOW_MS_PER_BYTE=0.0)
         self.gateway()
