--- a/petrelhall/cli/ask.py
+++ b/petrelhall/cli/ask.py
@@ -10,6 +10,7 @@
 import click
 
 WAIT_S = 3.0
+CALLS_AT_ONCE = 64
 
 
 class Unanswered(Exception):
@@ -57,7 +58,7 @@
     for where in addresses:
         address(where)
     found, failed = {}, {}
-    with concurrent.futures.ThreadPoolExecutor(min(64, len(addresses))) as pool:
+    with concurrent.futures.ThreadPoolExecutor(min(CALLS_AT_ONCE, len(addresses))) as pool:
         tasks = {where: pool.submit(look, where, view) for where in addresses}
         for where, task in tasks.items():
             try:
