--- a/petrelhall/capacity/show.py
+++ b/petrelhall/capacity/show.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from petrelhall.capacity.figures import Quantity, Role, definitions
+from petrelhall.capacity.findings import outcomes
 from petrelhall.capacity.missing import Missing, missing
 from petrelhall.capacity.records import Curve, Record, Slope
 from petrelhall.capacity.tables import MISSES, PARTLY, UNBUDGETED, UNMEASURED, Figure, Tables
@@ -93,6 +94,7 @@
         *rates_part(worked_out),
         *(part for role in Role for part in role_part(worked_out, role)),
         *slopes_part(record),
+        *findings_part(record),
         *missing_part(missing(worked_out)),
     ]
     return "\n".join(parts) + "\n"
@@ -157,6 +159,26 @@
     return ["### Slopes\n", table(headings, rows), f"Measured, and in no figure: {', '.join(unused) or 'none'}.\n"]
 
 
+def findings_part(record: Record) -> list[str]:
+    """Give the figures that were found before, confirmed or refuted."""
+    rows = []
+    for outcome in outcomes(record):
+        if outcome.factor is None:
+            judgement = UNMEASURED
+        else:
+            judgement = "confirmed" if outcome.confirmed else f"refuted: {significant(outcome.factor)} times that"
+        rows.append(
+            (
+                outcome.subject,
+                f"{outcome.slope}({outcome.size:,.0f})",
+                amount(outcome.said, outcome.quantity),
+                amount(outcome.measured, outcome.quantity),
+                judgement,
+            )
+        )
+    return ["### Earlier findings\n", table(("what", "slope", "said", "measured (fit)", "outcome"), rows)]
+
+
 def formula(slope: Slope) -> str:
     """Write a fitted curve with its coefficients."""
     size = slope.variable
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from petrelhall.capacity.figures import CALLS_AT_ONCE, OWN_DESCRIPTORS, Quantity, Role, definitions
+from petrelhall.capacity.findings import outcomes
 from petrelhall.capacity.missing import MECHANISMS, missing
 from petrelhall.capacity.records import RECORD_FORMAT, Curve, Record, Slope, write_record
 from petrelhall.capacity.show import BEGIN, END, PageError, amount, held, renewed, section, significant
@@ -303,6 +304,22 @@
             self.assertEqual(len(found), len(MECHANISMS))
 
 
+class Findings(unittest.TestCase):
+    """Earlier figures against a record."""
+
+    def test_a_figure_is_confirmed_within_a_quarter_and_refuted_beyond(self) -> None:
+        for lists_ms, confirmed in ((0.0056, True), (0.0070, True), (0.0071, False), (0.0046, True), (0.0044, False)):
+            record = a_record(a_slope("discovery.whole_list.cpu", (0.0, lists_ms)))  # 107 ms were said
+            (outcome,) = [one for one in outcomes(record) if one.slope == "discovery.whole_list.cpu"]
+            self.assertEqual(outcome.confirmed, confirmed, lists_ms)
+
+    def test_a_figure_without_a_slope_is_neither(self) -> None:
+        record = a_record(a_slope("discovery.whole_list.cpu", (0.0, 0.0281578947)))
+        text = section(record, tables(record, Size()))
+        self.assertIn("| discovery.whole_list.cpu(19,000) | 107 ms | 535 ms | refuted: 5 times that |", text)
+        self.assertIn("| accord.lease(2,100) | 421 s | not measured | not measured |", text)
+
+
 class Words(unittest.TestCase):
     """Numbers as they are written."""
 
