Capacity tables for a terminal: five columns, the sources on request

Seven columns did not fit a terminal and cut every name short. Numbers in words moved to their own module.

--- a/petrelhall/capacity/figures.py
+++ b/petrelhall/capacity/figures.py
@@ -206,14 +206,6 @@
         Definition(
             role, Quantity.DESCRIPTORS, "connections to servers", (slope("links.connections"),), POOL, "descriptors"
         ),
-        Definition(
-            role,
-            Quantity.DESCRIPTORS,
-            "one kept connection to each server, were it wanted",
-            (counted(Factor.SERVERS),),
-            f"{NOT_BUILT}: subsets of the servers",
-            "descriptors",
-        ),
     ]
 
 
--- a/petrelhall/capacity/missing.py
+++ b/petrelhall/capacity/missing.py
@@ -76,7 +76,6 @@
         "takes the requests of a part of the tenants",
         (
             (Role.SERVING, Quantity.DESCRIPTORS, "connections to servers"),
-            (Role.SERVING, Quantity.DESCRIPTORS, "one kept connection to each server, were it wanted"),
             (Role.SERVING, Quantity.TURN, "clock of the pool"),
             (Role.SERVING, Quantity.TURN, "sweep of tenants"),
             (Role.SERVING, Quantity.CPU, "decisions"),
--- a/petrelhall/capacity/show.py
+++ b/petrelhall/capacity/page.py
@@ -1,4 +1,4 @@
-"""Figures in words: numbers with units, and the generated section of the capacity page as Markdown. Pure."""
+"""The generated section of the capacity page, as Markdown. Pure."""
 
 from __future__ import annotations
 
@@ -6,87 +6,21 @@
 
 import msgspec
 
-from petrelhall.capacity.figures import Quantity, Role, definitions
+from petrelhall.capacity.figures import Role, definitions
 from petrelhall.capacity.findings import outcomes
 from petrelhall.capacity.missing import Missing, missing
 from petrelhall.capacity.records import Curve, Record, Slope
-from petrelhall.capacity.tables import MISSES, PARTLY, UNBUDGETED, UNMEASURED, Figure, Tables
+from petrelhall.capacity.tables import UNMEASURED, Tables
+from petrelhall.capacity.words import HEADINGS, amount, cells, significant
 from petrelhall.capacity.workload import Rates
 
 BEGIN, END = "<!-- capacity:begin -->", "<!-- capacity:end -->"
-PREFIXES = ((1e9, "G"), (1e6, "M"), (1e3, "k"))
-TIMES = ((1.0, "s"), (1e-3, "ms"), (1e-6, "us"))
 
 
 class PageError(ValueError):
     """A page without the two marks of its generated section."""
 
 
-def significant(value: float) -> str:
-    """Write a number with three significant digits and without an exponent."""
-    if value == 0.0:
-        return "0"
-    if abs(value) >= 99.95:
-        return f"{value:,.0f}"
-    return f"{value:.3g}" if abs(value) >= 0.001 else f"{value:.1e}"
-
-
-def amount(value: float | None, quantity: Quantity) -> str:
-    """Write a value in the unit that suits it."""
-    if value is None:
-        return UNMEASURED
-    if quantity in (Quantity.CPU, Quantity.DELAYED):
-        return f"{significant(100.0 * value)}%"
-    if quantity in (Quantity.TURN, Quantity.DURATION):
-        scale, unit = next((pair for pair in TIMES if value >= pair[0]), TIMES[-1])
-        return f"{significant(value / scale)} {unit}"
-    if quantity in (Quantity.BYTES_IN, Quantity.BYTES_OUT, Quantity.MEMORY, Quantity.STATE_BYTES):
-        scale, prefix = next((pair for pair in PREFIXES if value >= pair[0]), (1.0, ""))
-        return f"{significant(value / scale)} {prefix}B{'/s' if quantity.value.startswith('bytes') else ''}"
-    return f"{significant(value)}{'/s' if quantity in (Quantity.MESSAGES_IN, Quantity.MESSAGES_OUT) else ''}"
-
-
-def judged(figure: Figure) -> str:
-    """Write a figure's verdict, with the factor by which it misses."""
-    if figure.verdict == MISSES and figure.miss is not None:
-        return f"misses x{significant(figure.miss)}"
-    if figure.verdict == PARTLY:
-        return f"{PARTLY}, {len(figure.unmeasured)} not measured"
-    return figure.verdict
-
-
-def worst(figure: Figure, day: Rates) -> str:
-    """Write the worst minute's value, and which minute it is where it differs from the ordinary day."""
-    text = amount(figure.worst, figure.quantity)
-    return text if figure.worst == figure.ordinary or figure.worst is None else f"{text} ({figure.worst_minute})"
-
-
-def source(figure: Figure) -> str:
-    """Write where a figure comes from, and how far beyond the measured sizes."""
-    text = figure.source
-    if figure.extrapolation > 1.0:
-        text += f"; {significant(figure.extrapolation)}x beyond the measured sizes"
-    if figure.unmeasured and figure.verdict != UNMEASURED:
-        text += f"; without {', '.join(figure.unmeasured)}"
-    return text
-
-
-def cells(figure: Figure, day: Rates) -> tuple[str, ...]:
-    """Give a figure's row."""
-    return (
-        f"{figure.quantity.value}: {figure.subject}",
-        amount(figure.ordinary, figure.quantity),
-        worst(figure, day),
-        "" if figure.budget is None else amount(figure.budget, figure.quantity),
-        "" if figure.verdict == UNBUDGETED else judged(figure),
-        source(figure),
-        figure.carried_by,
-    )
-
-
-HEADINGS = ("figure", "ordinary day", "worst minute", "budget", "verdict", "slope x size", "carried by")
-
-
 def section(record: Record, worked_out: Tables) -> str:
     """Give the generated section of the page."""
     parts = [
@@ -119,8 +53,8 @@
     return "\n".join("| " + " | ".join(cell.replace("|", "\\|") for cell in line) + " |" for line in lines) + "\n"
 
 
-def rates_part(worked_out: Tables) -> list[str]:
-    """Give the rates of the ordinary day and of the worst minutes, and what is assumed for each."""
+def rate_rows(worked_out: Tables) -> tuple[tuple[str, ...], list[tuple[str, ...]]]:
+    """Give the headings and the rows of the rates of the ordinary day and of the worst minutes."""
     names = [field for field in Rates.__struct_fields__ if field not in ("name", "why")]
     states = (worked_out.ordinary, *worked_out.worst_minutes)
     rows = [
@@ -129,8 +63,15 @@
     ]
     units = {"requests": "requests/s, one gateway", "tenants_seen": "tenants seen, one gateway"}
     titles = [units.get(name, f"{name.replace('_', ' ')}/s") for name in names]
+    return ("state", *titles), rows
+
+
+def rates_part(worked_out: Tables) -> list[str]:
+    """Give the rates, and what is assumed for each state."""
+    headings, rows = rate_rows(worked_out)
+    states = (worked_out.ordinary, *worked_out.worst_minutes)
     whys = [f"- **{state.name}**: {state.why}." for state in states]
-    return ["### Rates\n", table(("state", *titles), rows), "\n".join(whys) + "\n"]
+    return ["### Rates\n", table(headings, rows), "\n".join(whys) + "\n"]
 
 
 def role_part(worked_out: Tables, role: Role) -> list[str]:
@@ -193,19 +134,23 @@
     return f"{text.replace('+ -', '- ')} {slope.unit}"
 
 
+def how_far(one: Missing) -> str:
+    """Say how far what runs today misses without one mechanism."""
+    unmeasured = "; ".join(one.unmeasured)
+    if one.miss is None:
+        return f"not measured ({unmeasured})"
+    if one.miss > 1.0:
+        text = f"missed by {significant(one.miss)} times ({one.figure})"
+    else:
+        text = f"nothing measured misses; nearest at {significant(one.miss)} of its budget ({one.figure})"
+    return f"{text}; not measured: {unmeasured}" if unmeasured else text
+
+
 def missing_part(found: tuple[Missing, ...]) -> list[str]:
     """Give the missing mechanisms in order."""
-    lines = []
-    for place, one in enumerate(found, 1):
-        if one.miss is None:
-            by = f"not measured ({'; '.join(one.unmeasured)})"
-        elif one.miss > 1.0:
-            by = f"missed by {significant(one.miss)} times ({one.figure})"
-        else:
-            by = f"nothing measured misses; nearest at {significant(one.miss)} of its budget ({one.figure})"
-        if one.miss is not None and one.unmeasured:
-            by += f"; not measured: {'; '.join(one.unmeasured)}"
-        lines.append(f"{place}. **{one.name}**: {by}. It would take: {one.takes}.")
+    lines = [
+        f"{place}. **{one.name}**: {how_far(one)}. It would take: {one.takes}." for place, one in enumerate(found, 1)
+    ]
     return ["### Missing mechanisms, by how far they miss\n", "\n".join(lines) + "\n"]
 
 
--- a/petrelhall/cli/capacity.py
+++ b/petrelhall/cli/capacity.py
@@ -9,16 +9,19 @@
 
 import click
 import msgspec
+from rich.markup import escape
 from rich.table import Table
 
 from petrelhall.capacity.figures import Role
 from petrelhall.capacity.missing import missing
+from petrelhall.capacity.page import PageError, held, how_far, rate_rows, renewed, section
 from petrelhall.capacity.records import Record, read_record
-from petrelhall.capacity.show import HEADINGS, PageError, cells, held, missing_part, rates_part, renewed, section
 from petrelhall.capacity.sizes import Size, SizeError, checked
-from petrelhall.capacity.tables import RecordError, Tables, tables
+from petrelhall.capacity.tables import MISSES, RecordError, Tables, tables
+from petrelhall.capacity.words import HEADINGS, cells
 from petrelhall.cli.tell import OUT
 
+WITHOUT_SOURCES = 5  # columns
 RECORD = Path(__file__).resolve().parents[2] / "docs" / "capacity" / "slopes.json"
 
 
@@ -39,6 +42,7 @@
 @click.command()
 @size_options
 @click.option("--record", type=click.Path(path_type=Path), default=RECORD, help="slopes; else those of the docs")
+@click.option("--sources", is_flag=True, help="also print the slopes and what carries each figure")
 @click.option("--json", "machine", is_flag=True, help="print JSON")
 @click.option("--markdown", is_flag=True, help="print the generated section of docs/CAPACITY.md")
 @click.option(
@@ -46,7 +50,13 @@
 )
 @click.option("--update", "update_page", type=click.Path(path_type=Path), help="write it into this page")
 def capacity(
-    record: Path, machine: bool, markdown: bool, check_page: Path | None, update_page: Path | None, **fields: Any
+    record: Path,
+    sources: bool,
+    machine: bool,
+    markdown: bool,
+    check_page: Path | None,
+    update_page: Path | None,
+    **fields: Any,
 ) -> None:
     """Work out what each part of a deployment spends at a size, against its budget.
 
@@ -75,7 +85,7 @@
         page = read_page(update_page)
         update_page.write_text(renewed(page, section(slopes, worked_out)), encoding="utf-8")
     else:
-        show(worked_out)
+        show(worked_out, sources)
 
 
 def refuse(reason: str) -> None:
@@ -103,16 +113,28 @@
         sys.exit(1)
 
 
-def show(worked_out: Tables) -> None:
+def show(worked_out: Tables, sources: bool) -> None:
     """Print the tables for a person."""
-    for part in rates_part(worked_out):
-        OUT.print(part, markup=False)
+    headings, rows = rate_rows(worked_out)
+    OUT.print(a_table("rates", headings, rows))
+    shown = len(HEADINGS) if sources else WITHOUT_SOURCES
     for role in Role:
-        shown = Table(title=role.value)
-        for name in HEADINGS:
-            shown.add_column(name)
-        for figure in worked_out.of(role):
-            shown.add_row(*(cell.replace("[", "\\[") for cell in cells(figure, worked_out.ordinary)))
-        OUT.print(shown)
-    for part in missing_part(missing(worked_out)):
-        OUT.print(part, markup=False)
+        figures = worked_out.of(role)
+        rows = [cells(figure, worked_out.ordinary)[:shown] for figure in figures]
+        styles = ["red" if figure.verdict == MISSES else "" for figure in figures]
+        OUT.print(a_table(role.value, HEADINGS[:shown], rows, styles))
+    OUT.print("missing mechanisms, by how far what runs today misses:")
+    for place, one in enumerate(missing(worked_out), 1):
+        OUT.print(f"{place}. {one.name}: {how_far(one)}", markup=False)
+
+
+def a_table(
+    title: str, headings: tuple[str, ...], rows: list[tuple[str, ...]], styles: list[str] | None = None
+) -> Table:
+    """Make a table for the terminal."""
+    made = Table(title=title)
+    for heading in headings:
+        made.add_column(heading)
+    for place, row in enumerate(rows):
+        made.add_row(*(escape(cell) for cell in row), style=styles[place] if styles else "")
+    return made
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -16,10 +16,11 @@
 from petrelhall.capacity.figures import CALLS_AT_ONCE, OWN_DESCRIPTORS, Quantity, Role, definitions
 from petrelhall.capacity.findings import outcomes
 from petrelhall.capacity.missing import MECHANISMS, missing
+from petrelhall.capacity.page import BEGIN, END, PageError, held, renewed, section
 from petrelhall.capacity.records import RECORD_FORMAT, Curve, Record, Slope, write_record
-from petrelhall.capacity.show import BEGIN, END, PageError, amount, held, renewed, section, significant
 from petrelhall.capacity.sizes import Size, SizeError, checked
 from petrelhall.capacity.tables import Figure, RecordError, Tables, tables
+from petrelhall.capacity.words import amount, significant
 from petrelhall.capacity.workload import ordinary, worst_minutes
 from petrelhall.cli import ask
 from petrelhall.cli.main import main
@@ -363,6 +364,9 @@
         self.assertEqual(result.exit_code, 0, result.output)
         for role in Role:
             self.assertIn(role.value, result.output)
+        self.assertIn("1. incremental decoding of server lists: missed by 95 times", result.output)
+        self.assertNotIn("(`boxes", result.output)
+        self.assertIn("(`boxes", self.call("--sources").output)
 
     def test_json_reads_back_as_the_tables(self) -> None:
         result = self.call("--json", "--gateways", "300", "--servers", "2500", "--tenants", "9000")
