--- a/petrelhall/capacity/figures.py
+++ b/petrelhall/capacity/figures.py
@@ -57,6 +57,8 @@
     GATEWAYS = "gateways"
     SHARE = "gateways / control machines"
     PER_MACHINE = "1 / control machines"
+    WATCHES = "gateways / distributors"
+    PER_DISTRIBUTOR = "1 / distributors"
     SERVERS = "servers"
     TENANTS = "tenants"
     TENANTS_SEEN = "tenants seen"
@@ -76,6 +78,8 @@
             Factor.GATEWAYS: float(size.gateways),
             Factor.SHARE: size.gateways / machines,
             Factor.PER_MACHINE: 1.0 / machines,
+            Factor.WATCHES: size.gateways / size.distributors,
+            Factor.PER_DISTRIBUTOR: 1.0 / size.distributors,
             Factor.SERVERS: float(size.servers),
             Factor.TENANTS: float(size.tenants),
             Factor.TENANTS_SEEN: rates.tenants_seen,
@@ -416,11 +420,11 @@
 
 
 def distributor() -> list[Definition]:
-    """Give what one distributor spends; gateways are spread evenly over the control machines."""
+    """Give what one distributor spends; gateways are spread evenly over the distributors."""
     role = Role.DISTRIBUTOR
-    anew = (Factor.RECONNECTIONS, Factor.PER_MACHINE)
+    anew = (Factor.RECONNECTIONS, Factor.PER_DISTRIBUTOR)
     return [
-        Definition(role, Quantity.STATE, "watches held", (counted(Factor.SHARE),), LEARNERS),
+        Definition(role, Quantity.STATE, "watches held", (counted(Factor.WATCHES),), LEARNERS),
         Definition(role, Quantity.MESSAGES_IN, "all", (slope("distribution.distributor.messages.in"),), LEARNERS),
         Definition(role, Quantity.MESSAGES_OUT, "all", (slope("distribution.distributor.messages.out"),), LEARNERS),
         Definition(role, Quantity.BYTES_IN, "all", (slope("distribution.distributor.bytes.in"),), LEARNERS),
@@ -430,7 +434,7 @@
         ),
         Definition(role, Quantity.CPU, "all", (slope("distribution.distributor.cpu"),), LEARNERS, "machine_cpu"),
         Definition(role, Quantity.MEMORY, "all", (slope("distribution.distributor.memory"),), LEARNERS),
-        Definition(role, Quantity.DESCRIPTORS, "watches", (counted(Factor.SHARE),), LEARNERS, "descriptors"),
+        Definition(role, Quantity.DESCRIPTORS, "watches", (counted(Factor.WATCHES),), LEARNERS, "descriptors"),
         Definition(
             role,
             Quantity.DURATION,
--- a/petrelhall/capacity/page.py
+++ b/petrelhall/capacity/page.py
@@ -88,7 +88,7 @@
             slope.title,
             f"{len(slope.sizes)}: {significant(min(slope.sizes))} to {significant(max(slope.sizes))} {slope.variable}",
             formula(slope),
-            f"{significant(100.0 * slope.error)}%",
+            f"{100.0 * slope.error:.1f}%",
             slope.leaves_out,
             f"`{slope.command}`",
         )
--- a/petrelhall/capacity/sizes.py
+++ b/petrelhall/capacity/sizes.py
@@ -37,6 +37,11 @@
         """Give the number of all machines."""
         return self.gateways + self.servers + self.control_machines
 
+    @property
+    def distributors(self) -> int:
+        """Give the number of distributors: the control machines that hold no replica, one of which is in each region."""
+        return max(1, self.control_machines - self.regions)
+
     @property
     def requests_per_gateway(self) -> float:
         """Give the requests a second of one gateway at the peak."""
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,8 +1,9 @@
-"""The capacity tables: curves, rates, figures, the missing ones, the command."""
+"""The capacity tables: curves, rates, figures, the missing ones, the command, and the page held against its record."""
 
 from __future__ import annotations
 
 import math
+import os
 import re
 import tempfile
 import unittest
@@ -17,15 +18,18 @@
 from petrelhall.capacity.findings import outcomes
 from petrelhall.capacity.missing import MECHANISMS, missing
 from petrelhall.capacity.page import BEGIN, END, PageError, held, renewed, section
-from petrelhall.capacity.records import RECORD_FORMAT, Curve, Record, Slope, write_record
-from petrelhall.capacity.sizes import Size, SizeError, checked
+from petrelhall.capacity.records import RECORD_FORMAT, Curve, Record, Slope, read_record, write_record
+from petrelhall.capacity.sizes import Budget, Size, SizeError, checked
 from petrelhall.capacity.tables import Figure, RecordError, Tables, tables
 from petrelhall.capacity.words import amount, significant
 from petrelhall.capacity.workload import ordinary, worst_minutes
 from petrelhall.cli import ask
+from petrelhall.cli.capacity import RECORD
 from petrelhall.cli.main import main
 from petrelhall.gateway.program import OWN_SOCKETS
 
+PAGE = Path(__file__).resolve().parents[1] / "docs" / "CAPACITY.md"
+
 
 def a_slope(
     name: str,
@@ -231,6 +235,11 @@
         self.assertAlmostEqual(figure.worst, 0.0005)  # five replicas
         self.assertIn("(5 replicas, below the measured sizes)", figure.source)
 
+    def test_gateways_are_spread_over_the_distributors(self) -> None:
+        for size, expected in ((Size(), 420.0), (Size(control_machines=7), 1050.0), (Size(control_machines=0), 2100.0)):
+            figure = find(tables(a_record(LISTS), size), Role.DISTRIBUTOR, Quantity.DESCRIPTORS, "watches")
+            self.assertEqual(figure.worst, expected)
+
     def test_units_are_turned_into_base_units(self) -> None:
         for unit, expected in (("MiB", 19000.0 * 2**20), ("bytes", 19000.0)):
             memory = a_slope("links.memory", (0.0, 1.0), unit=unit)
@@ -420,3 +429,38 @@
 
     def test_one_form_of_output_at_a_time(self) -> None:
         self.assertEqual(self.call("--json", "--markdown").exit_code, 2)
+
+
+class Page(unittest.TestCase):
+    """docs/CAPACITY.md, its record and the command."""
+
+    def test_the_page_holds_what_record_and_command_give(self) -> None:
+        result = CliRunner().invoke(main, ["capacity", "--check", str(PAGE)])
+        self.assertEqual(result.exit_code, 0, result.output)
+
+    def test_every_slope_has_four_sizes_and_says_how_it_was_measured(self) -> None:
+        for slope in read_record(RECORD).slopes:
+            with self.subTest(slope=slope.name):
+                self.assertGreaterEqual(len(set(slope.sizes)), 4)
+                self.assertEqual({len(slope.sizes)}, {len(slope.values), len(slope.spread)})
+                self.assertTrue(slope.command and slope.leaves_out and slope.title)
+                self.assertTrue(math.isfinite(slope.error))
+
+    def test_what_the_page_links_to_is_there(self) -> None:
+        for target in re.findall(r"\]\((?!https?:)([^)#]+)", PAGE.read_text(encoding="utf-8")):
+            self.assertTrue(os.path.exists(PAGE.parent / target), target)
+
+    def test_the_page_says_why_a_cost_is_not_linear(self) -> None:
+        prose = PAGE.read_text(encoding="utf-8").partition(BEGIN)[0]
+        for slope in read_record(RECORD).slopes:
+            if slope.curve not in (Curve.LINEAR, Curve.CONSTANT):
+                self.assertIn(f"`{slope.name}`", prose)
+
+    def test_every_plot_is_on_the_page(self) -> None:
+        page = PAGE.read_text(encoding="utf-8")
+        for plot in sorted(RECORD.parent.glob("*.png")):
+            self.assertIn(f"(capacity/{plot.name})", page)
+
+    def test_the_page_is_for_the_operators_plan(self) -> None:
+        self.assertIn("Worked out for 2,100 gateways, 19,000 servers", PAGE.read_text(encoding="utf-8"))
+        self.assertEqual(Budget().added_latency_s, 0.0012)
