--- a/petrelhall/capacity/sizes.py
+++ b/petrelhall/capacity/sizes.py
@@ -39,7 +39,7 @@
 
     @property
     def distributors(self) -> int:
-        """Give the number of distributors: the control machines that hold no replica, one of which is in each region."""
+        """Give the number of distributors: all control machines but one replica in each region."""
         return max(1, self.control_machines - self.regions)
 
     @property
