--- a/benchmarks/scale/subjects/__init__.py
+++ b/benchmarks/scale/subjects/__init__.py
@@ -5,10 +5,14 @@
 from collections.abc import Callable, Iterator
 
 from benchmarks.scale.sampling import Effort
-from benchmarks.scale.subjects import decide, discovery
+from benchmarks.scale.subjects import accord, accord_simulated, decide, discovery, members, members_simulated
 from petrelhall.capacity.records import Slope
 
 SUBJECTS: dict[str, Callable[[Effort], Iterator[Slope]]] = {
     "discovery": discovery.measure,
     "decide": decide.measure,
+    "members": members.measure,
+    "members-simulated": members_simulated.measure,
+    "accord": accord.measure,
+    "accord-simulated": accord_simulated.measure,
 }
--- a/benchmarks/scale/subjects/discovery.py
+++ b/benchmarks/scale/subjects/discovery.py
@@ -92,11 +92,11 @@
         whole_bytes.add(servers, float(len(content)))
         for _ in range(effort.repeats):
             receiver = watch()
-            whole_cpu.add(servers, cpu_ms(lambda receiver=receiver: take(receiver, content)))  # type: ignore[misc]
+            whole_cpu.add(servers, cpu_ms(take, receiver, content))
             for number in range(CHANGES):
                 entry = server_entry(number, started_ms=1000 * (number + 1))
                 change = body({"version": number + 2, "full": False, "servers": [entry]})
-                spent = cpu_ms(lambda receiver=receiver, change=change: take(receiver, change))  # type: ignore[misc]
+                spent = cpu_ms(take, receiver, change)
                 change_cpu.add(servers, spent)
                 change_bytes.add(servers, float(len(change)))
             receiver.loop.epoll.close()
