Scale benchmarks: quotas, messages, documents, connections and a process at rest

Need: tenants, routes, quotas by tenant, connections to 19,000 servers and counters had not been measured at any size. Change: a subject module for each of them; a gateway in a process of its own gives what the kernel says of memory, CPU and descriptors.

--- a/benchmarks/scale/subjects/__init__.py
+++ b/benchmarks/scale/subjects/__init__.py
@@ -5,7 +5,19 @@
 from collections.abc import Callable, Iterator
 
 from benchmarks.scale.sampling import Effort
-from benchmarks.scale.subjects import accord, accord_simulated, decide, discovery, members, members_simulated
+from benchmarks.scale.subjects import (
+    accord,
+    accord_simulated,
+    decide,
+    discovery,
+    document,
+    gossip,
+    links,
+    members,
+    members_simulated,
+    process,
+    quota,
+)
 from petrelhall.capacity.records import Slope
 
 SUBJECTS: dict[str, Callable[[Effort], Iterator[Slope]]] = {
@@ -15,4 +27,9 @@
     "members-simulated": members_simulated.measure,
     "accord": accord.measure,
     "accord-simulated": accord_simulated.measure,
+    "quota": quota.measure,
+    "gossip": gossip.measure,
+    "document": document.measure,
+    "links": links.measure,
+    "process": process.measure,
 }
