Scale benchmarks: membership's plan is fitted from 200 gateways on, where it has one form

Cause: words hold two bitmaps of at most 320 members, so below some 300 gateways the plan's time grows otherwise, and one curve over all sizes was off by 23%. Change: members.found has sizes of its own, 200 to 2,100.

--- a/benchmarks/scale/sampling.py
+++ b/benchmarks/scale/sampling.py
@@ -25,6 +25,7 @@
 
     servers: tuple[int, ...] = (190, 950, 1900, 5000, 10000, 19000)
     gateways: tuple[int, ...] = (21, 50, 100, 300, 700, 1400, 2100)
+    planned_members: tuple[int, ...] = (200, 300, 500, 700, 1000, 1400, 2100)
     simulated_members: tuple[int, ...] = (5, 10, 20, 50, 100, 200)
     simulated_voters: tuple[int, ...] = (5, 20, 50, 100, 200)
     tenants: tuple[int, ...] = (1200, 4000, 12000, 40000, 120000)
