Capacity figures for documents, clocks, connections and the counter

Each has a figure now, and the constants that figures take over from the program (descriptors, clocks, how long a tenant is kept, the limit of a document) are compared with the program's own in a test.

--- a/petrelhall/capacity/figures.py
+++ b/petrelhall/capacity/figures.py
@@ -12,7 +12,13 @@
 from petrelhall.capacity.sizes import Budget, Size
 from petrelhall.capacity.workload import Rates
 
-OWN_DESCRIPTORS = 40.0  # of a gateway, beside those to clients and servers: ``gateway.program.OWN_SOCKETS``
+DESCRIPTORS = 1024  # of one gateway
+OWN_DESCRIPTORS = 40  # of these, beside those to clients and servers: ``gateway.program.OWN_SOCKETS``
+CLIENT_SHARE = 0.6  # of the rest, for clients: ``gateway.program.CLIENT_SHARE``
+CLIENT_CONNECTIONS = int(CLIENT_SHARE * (DESCRIPTORS - OWN_DESCRIPTORS))
+SERVER_CONNECTIONS = DESCRIPTORS - OWN_DESCRIPTORS - CLIENT_CONNECTIONS
+POOL_CLOCK_S = 0.1  # between two turns of the connection pool's clock: ``links.pool.TICK_MS``
+QUOTA_CLOCK_S = 0.05  # between two turns of the quotas' clock: ``quota.ledger.TURN_MS``
 CALLS_AT_ONCE = 64.0  # of a command that looks at many gateways: ``cli.ask.look_at_all``
 
 
@@ -63,6 +69,11 @@
     TENANTS = "tenants"
     TENANTS_SEEN = "tenants seen"
     OWN_DESCRIPTORS = "descriptors kept for it"
+    CLIENT_CONNECTIONS = "most connections of clients"
+    SERVER_CONNECTIONS = "most connections to servers"
+    POOL_CLOCK = "turns/s of the pool's clock"
+    QUOTA_CLOCK = "turns/s of the quotas' clock"
+    INTERVAL = "intervals/s"
     CALLS_AT_ONCE = "calls at once"
 
     def of(self, size: Size, rates: Rates) -> float:
@@ -83,7 +94,12 @@
             Factor.SERVERS: float(size.servers),
             Factor.TENANTS: float(size.tenants),
             Factor.TENANTS_SEEN: rates.tenants_seen,
-            Factor.OWN_DESCRIPTORS: OWN_DESCRIPTORS,
+            Factor.OWN_DESCRIPTORS: float(OWN_DESCRIPTORS),
+            Factor.CLIENT_CONNECTIONS: float(CLIENT_CONNECTIONS),
+            Factor.SERVER_CONNECTIONS: float(SERVER_CONNECTIONS),
+            Factor.POOL_CLOCK: 1.0 / POOL_CLOCK_S,
+            Factor.QUOTA_CLOCK: 1.0 / QUOTA_CLOCK_S,
+            Factor.INTERVAL: 1.0,
             Factor.CALLS_AT_ONCE: min(CALLS_AT_ONCE, float(size.gateways)),
         }
         return values[self]
@@ -170,13 +186,14 @@
         ),
         Definition(role, Quantity.MESSAGES_IN, "requests", (counted(requests),), DECISION),
         Definition(role, Quantity.MESSAGES_OUT, "requests sent to servers", (slope("links.attempts", requests),), POOL),
+        Definition(role, Quantity.MESSAGES_OUT, "connections opened", (slope("links.opened", requests),), POOL),
         Definition(role, Quantity.BYTES_IN, "requests and answers", (slope("http.bytes.in", requests),), "`http.h1`"),
         Definition(role, Quantity.BYTES_OUT, "requests and answers", (slope("http.bytes.out", requests),), "`http.h1`"),
         Definition(role, Quantity.CPU, "decisions", (slope("decide.request.cpu", requests),), DECISION, "machine_cpu"),
         Definition(
             role,
             Quantity.CPU,
-            "tenants, for each request",
+            "decisions by tenants remembered, at 200 servers",
             (slope("decide.tenants.cpu", requests, at=SEEN),),
             DECISION,
             "machine_cpu",
@@ -184,6 +201,15 @@
         Definition(
             role, Quantity.CPU, "choice of connections", (slope("links.request.cpu", requests),), POOL, "machine_cpu"
         ),
+        Definition(role, Quantity.CPU, "clock of the pool", (slope("links.tick.cpu"),), POOL, "machine_cpu"),
+        Definition(
+            role,
+            Quantity.CPU,
+            "whole process at rest",
+            (slope("process.rest.cpu"),),
+            "`gateway.program`",
+            "machine_cpu",
+        ),
         Definition(
             role,
             Quantity.CPU,
@@ -200,6 +226,37 @@
             DECISION,
             "added_latency_s",
         ),
+        Definition(
+            role,
+            Quantity.TURN,
+            "all tenants forgotten at once",
+            (slope("decide.sweep.forget", at=SEEN),),
+            DECISION,
+            "added_latency_s",
+        ),
+        Definition(
+            role,
+            Quantity.TURN,
+            "interval of the decision module, by servers",
+            (slope("decide.interval.servers"),),
+            DECISION,
+            "added_latency_s",
+        ),
+        Definition(
+            role,
+            Quantity.TURN,
+            "snapshot at a reload",
+            (slope("decide.snapshot.cpu", at=SEEN),),
+            DECISION,
+            "added_latency_s",
+        ),
+        Definition(
+            role,
+            Quantity.DELAYED,
+            "clocks of decision module and pool, each turn as long as the longest",
+            (slope("decide.interval.servers", Factor.INTERVAL), slope("links.tick.longest", Factor.POOL_CLOCK)),
+            f"{DECISION}; {POOL}",
+        ),
         Definition(role, Quantity.TURN, "clock of the pool", (slope("links.tick.longest"),), POOL, "added_latency_s"),
         Definition(role, Quantity.MEMORY, "servers", (slope("decide.servers.memory"),), DECISION),
         Definition(role, Quantity.MEMORY, "tenants", (slope("decide.tenants.memory", at=SEEN),), DECISION),
@@ -208,7 +265,35 @@
             role, Quantity.MEMORY, "whole process at rest", (slope("process.rest.memory"),), "`gateway.program`"
         ),
         Definition(
-            role, Quantity.DESCRIPTORS, "connections to servers", (slope("links.connections"),), POOL, "descriptors"
+            role,
+            Quantity.MEMORY,
+            "whole process since its start, at most",
+            (slope("process.peak.memory"),),
+            "`gateway.program`",
+        ),
+        Definition(
+            role,
+            Quantity.DESCRIPTORS,
+            "connections of clients, at most",
+            (counted(Factor.CLIENT_CONNECTIONS),),
+            "`gateway.front`",
+            "descriptors",
+        ),
+        Definition(
+            role,
+            Quantity.DESCRIPTORS,
+            "connections to servers, at most",
+            (counted(Factor.SERVER_CONNECTIONS),),
+            POOL,
+            "descriptors",
+        ),
+        Definition(
+            role,
+            Quantity.DESCRIPTORS,
+            "whole process at rest",
+            (slope("process.rest.descriptors"),),
+            "`gateway.program`",
+            "descriptors",
         ),
     ]
 
@@ -219,8 +304,15 @@
     changes, lists = Factor.LIST_CHANGES, Factor.LISTS_HERE
     rows = [
         Definition(role, Quantity.STATE, "members known", (counted(Factor.GATEWAYS),), GOSSIP),
-        Definition(role, Quantity.STATE_BYTES, "configuration", document("bytes"), DOCUMENT),
+        Definition(role, Quantity.STATE_BYTES, "configuration", document("bytes"), DOCUMENT, "document_bytes"),
         Definition(role, Quantity.MESSAGES_IN, "answers of discovery", (counted(changes),), LIST),
+        Definition(
+            role,
+            Quantity.MESSAGES_IN,
+            "configuration changes, pieces of the tenants' part",
+            (slope("document.tenants.messages", Factor.CHANGES),),
+            DOCUMENT,
+        ),
     ]
     for subject, name, mechanism, at in MESH:
         for quantity in (Quantity.MESSAGES_IN, Quantity.MESSAGES_OUT):
@@ -293,6 +385,14 @@
             "added_latency_s",
         ),
         Definition(role, Quantity.TURN, "a configuration change", document("cpu"), DOCUMENT, "added_latency_s"),
+        Definition(role, Quantity.TURN, "quotas", (slope("quota.turn.longest", at=SEEN),), LEDGER, "added_latency_s"),
+        Definition(
+            role,
+            Quantity.DELAYED,
+            "clock of the quotas, each turn as long as the longest",
+            (slope("quota.turn.longest", Factor.QUOTA_CLOCK, at=SEEN),),
+            LEDGER,
+        ),
         Definition(
             role,
             Quantity.DELAYED,
@@ -333,6 +433,14 @@
             "in_force_s",
         ),
         Definition(role, Quantity.DURATION, "failed gateway found", (slope("members.found"),), GOSSIP, "in_force_s"),
+        Definition(
+            role,
+            Quantity.DURATION,
+            "failed gateway found (simulated)",
+            (slope("members.found.simulated"),),
+            GOSSIP,
+            "in_force_s",
+        ),
         Definition(role, Quantity.DURATION, "cut link found", (slope("members.cut_found"),), GOSSIP, "in_force_s"),
     ]
     return rows + totals(role, rows, TOTALS)
@@ -471,10 +579,13 @@
     """Give what the shared counter of quotas spends."""
     role = Role.COUNTER
     calls = slope("counter.calls", Factor.GATEWAYS)
+    loans = slope("quota.counter.calls", Factor.GATEWAYS, at=SEEN)
     return [
         Definition(role, Quantity.STATE, "accounts", (counted(Factor.TENANTS),), PLATFORM),
-        Definition(role, Quantity.MESSAGES_IN, "calls", (calls,), PLATFORM),
-        Definition(role, Quantity.MESSAGES_OUT, "answers", (calls,), PLATFORM),
+        Definition(role, Quantity.MESSAGES_IN, "calls, quotas without shares", (calls,), PLATFORM),
+        Definition(role, Quantity.MESSAGES_IN, "calls, quotas in owned shares", (loans,), PLATFORM),
+        Definition(role, Quantity.MESSAGES_OUT, "answers, quotas without shares", (calls,), PLATFORM),
+        Definition(role, Quantity.MESSAGES_OUT, "answers, quotas in owned shares", (loans,), PLATFORM),
         Definition(role, Quantity.BYTES_IN, "calls", (slope("counter.bytes.in", Factor.GATEWAYS),), PLATFORM),
         Definition(role, Quantity.BYTES_OUT, "answers", (slope("counter.bytes.out", Factor.GATEWAYS),), PLATFORM),
         Definition(role, Quantity.CPU, "calls", (slope("counter.cpu", Factor.GATEWAYS),), PLATFORM),
--- a/petrelhall/capacity/missing.py
+++ b/petrelhall/capacity/missing.py
@@ -38,6 +38,7 @@
             (Role.CONTROL, Quantity.DURATION, "lease"),
             (Role.CONTROL, Quantity.DURATION, "change in force, all gateways up (simulated)"),
             (Role.CONTROL, Quantity.DURATION, "change in force, one gateway silent"),
+            (Role.CONTROL, Quantity.STATE_BYTES, "configuration"),
             (Role.CONTROL, Quantity.BYTES_IN, "configuration changes"),
             (Role.CONTROL, Quantity.CPU, "configuration changes"),
             (Role.CONTROL, Quantity.TURN, "a configuration change"),
@@ -51,6 +52,7 @@
         "gateway then knows some hundred members and not all",
         (
             (Role.CONTROL, Quantity.DURATION, "failed gateway found"),
+            (Role.CONTROL, Quantity.DURATION, "failed gateway found (simulated)"),
             (Role.CONTROL, Quantity.DURATION, "cut link found"),
             (Role.CONTROL, Quantity.CPU, "membership"),
             (Role.CONTROL, Quantity.BYTES_OUT, "membership"),
@@ -75,9 +77,11 @@
         "deterministic subsetting: a gateway holds connections to, and state of, a part of each service's servers, and "
         "takes the requests of a part of the tenants",
         (
-            (Role.SERVING, Quantity.DESCRIPTORS, "connections to servers"),
+            (Role.SERVING, Quantity.TURN, "interval of the decision module, by servers"),
             (Role.SERVING, Quantity.TURN, "clock of the pool"),
+            (Role.SERVING, Quantity.DELAYED, "clocks of decision module and pool, each turn as long as the longest"),
             (Role.SERVING, Quantity.TURN, "sweep of tenants"),
+            (Role.SERVING, Quantity.TURN, "all tenants forgotten at once"),
             (Role.SERVING, Quantity.CPU, "decisions"),
             (Role.SERVING, Quantity.CPU, "choice of connections"),
             (Role.CONTROL, Quantity.BYTES_OUT, "load messages"),
@@ -88,6 +92,8 @@
         "a tenant's token bucket owned by few gateways, found by hashing, and a counter in shards by tenant",
         (
             (Role.CONTROL, Quantity.CPU, "quotas"),
+            (Role.CONTROL, Quantity.TURN, "quotas"),
+            (Role.CONTROL, Quantity.DELAYED, "clock of the quotas, each turn as long as the longest"),
             (Role.CONTROL, Quantity.MEMORY, "quotas"),
             (Role.CONTROL, Quantity.BYTES_OUT, "quotas"),
             (Role.COUNTER, Quantity.CPU, "calls"),
--- a/petrelhall/capacity/tables.py
+++ b/petrelhall/capacity/tables.py
@@ -26,7 +26,10 @@
     "MiB": 2.0**20,
     "messages/s": 1.0,
     "calls/s": 1.0,
+    "messages": 1.0,
     "connections": 1.0,
+    "connections/request": 1.0,
+    "descriptors": 1.0,
     "": 1.0,
 }
 FITS, MISSES, PARTLY, UNMEASURED, UNBUDGETED = "fits", "misses", "fits so far", "not measured", "no budget"
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -14,7 +14,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from petrelhall.capacity.figures import CALLS_AT_ONCE, OWN_DESCRIPTORS, Quantity, Role, definitions
+from petrelhall.accord import documents
+from petrelhall.capacity import figures, workload
+from petrelhall.capacity.figures import Quantity, Role, definitions
 from petrelhall.capacity.findings import outcomes
 from petrelhall.capacity.missing import MECHANISMS, missing
 from petrelhall.capacity.page import BEGIN, END, PageError, held, renewed, section
@@ -26,7 +28,10 @@
 from petrelhall.cli import ask
 from petrelhall.cli.capacity import RECORD
 from petrelhall.cli.main import main
-from petrelhall.gateway.program import OWN_SOCKETS
+from petrelhall.decide import policy
+from petrelhall.gateway import program
+from petrelhall.links import pool
+from petrelhall.quota import ledger
 
 PAGE = Path(__file__).resolve().parents[1] / "docs" / "CAPACITY.md"
 
@@ -50,9 +55,7 @@
 
 
 def find(worked_out: Tables, role: Role, quantity: Quantity, subject: str) -> Figure:
-    (found,) = [
-        figure for figure in worked_out.of(role) if figure.quantity is quantity and figure.subject.startswith(subject)
-    ]
+    (found,) = [figure for figure in worked_out.of(role) if figure.quantity is quantity and figure.subject == subject]
     return found
 
 
@@ -176,13 +179,13 @@
 
     def test_a_figure_is_slope_times_size_against_its_budget(self) -> None:
         worked_out = tables(a_record(LISTS, CHANGES), Size())
-        turn = find(worked_out, Role.CONTROL, Quantity.TURN, "a whole list")
+        turn = find(worked_out, Role.CONTROL, Quantity.TURN, "a whole list of servers")
         assert turn.worst is not None and turn.miss is not None
         self.assertAlmostEqual(turn.worst, 0.114)  # 0.006 ms x 19,000
         self.assertAlmostEqual(turn.miss, 95.0)  # / 1.2 ms
         self.assertEqual(turn.verdict, "misses")
         self.assertEqual(turn.source, "discovery.whole_list.cpu(19,000 servers)")
-        changes = find(worked_out, Role.CONTROL, Quantity.CPU, "changes of the list")
+        changes = find(worked_out, Role.CONTROL, Quantity.CPU, "changes of the list of servers")
         assert changes.worst is not None and changes.ordinary is not None
         self.assertAlmostEqual(changes.ordinary, 0.063045 * 0.002, places=7)
         self.assertAlmostEqual(changes.worst, 63.3964 * 0.002, places=6)  # 12.7% of a core
@@ -217,13 +220,15 @@
     def test_only_turns_longer_than_a_request_may_be_delayed_count_as_long(self) -> None:
         for coefficient, expected in ((0.00006, 0.0), (0.0001, 63.3964 * 0.0019)):
             change = a_slope("discovery.change.cpu", (0.0, coefficient))
-            figure = find(tables(a_record(change), Size()), Role.CONTROL, Quantity.DELAYED, "")
+            figure = find(
+                tables(a_record(change), Size()), Role.CONTROL, Quantity.DELAYED, "lists of servers and configuration"
+            )
             assert figure.worst is not None
             self.assertAlmostEqual(figure.worst, expected, places=6)  # turns of 1.14 and of 1.9 ms
 
     def test_a_size_beyond_what_was_measured_is_told(self) -> None:
         worked_out = tables(a_record(LISTS), Size(servers=38000))
-        figure = find(worked_out, Role.CONTROL, Quantity.TURN, "a whole list")
+        figure = find(worked_out, Role.CONTROL, Quantity.TURN, "a whole list of servers")
         self.assertEqual(figure.extrapolation, 2.0)
         self.assertIn("2x beyond the measured sizes", section(a_record(LISTS), worked_out))
         self.assertNotIn("beyond the measured", section(a_record(LISTS), tables(a_record(LISTS), Size())))
@@ -264,8 +269,14 @@
         self.assertEqual(len(names), len(set(names)))
 
     def test_constants_of_the_program_are_those_of_the_program(self) -> None:
-        self.assertEqual(OWN_DESCRIPTORS, OWN_SOCKETS)
-        self.assertEqual(CALLS_AT_ONCE, ask.CALLS_AT_ONCE)
+        self.assertEqual(figures.OWN_DESCRIPTORS, program.OWN_SOCKETS)
+        self.assertEqual(figures.CLIENT_SHARE, program.CLIENT_SHARE)
+        self.assertEqual(figures.DESCRIPTORS, Budget().descriptors)
+        self.assertEqual(figures.POOL_CLOCK_S * 1000.0, pool.TICK_MS)
+        self.assertEqual(figures.QUOTA_CLOCK_S * 1000.0, ledger.TURN_MS)
+        self.assertEqual(figures.CALLS_AT_ONCE, ask.CALLS_AT_ONCE)
+        self.assertEqual(Budget().document_bytes, documents.MOST_BYTES)
+        self.assertEqual(workload.TENANT_KEPT_S * 1000.0, policy.KEEP_MS)
 
     def test_records_that_cannot_be_used(self) -> None:
         for record, reason in (
@@ -284,11 +295,11 @@
     def test_more_servers_never_cost_less(self, one: int, other: int, coefficients: tuple[float, float]) -> None:
         record = a_record(a_slope("discovery.whole_list.cpu", coefficients))
         few, many = (tables(record, Size(servers=servers)) for servers in sorted((one, other)))
-        for quantity in (Quantity.TURN, Quantity.CPU):
-            costs = [
-                find(worked_out, Role.CONTROL, quantity, "a whole" if quantity is Quantity.TURN else "whole").worst
-                for worked_out in (few, many)
-            ]
+        for quantity, subject in (
+            (Quantity.TURN, "a whole list of servers"),
+            (Quantity.CPU, "whole lists of servers"),
+        ):
+            costs = [find(worked_out, Role.CONTROL, quantity, subject).worst for worked_out in (few, many)]
             assert costs[0] is not None and costs[1] is not None
             self.assertLessEqual(0.0, costs[0])
             self.assertLessEqual(costs[0], costs[1])
