Capacity: extrapolated figures and poor fits say so, budgets that are only assumed too

A verdict by a fit taken ten times beyond its measurements looked like one inside them, and three rows of membership were held against a budget that the operators never stated for it.

--- a/petrelhall/capacity/figures.py
+++ b/petrelhall/capacity/figures.py
@@ -432,16 +432,25 @@
             CONSENSUS,
             "in_force_s",
         ),
-        Definition(role, Quantity.DURATION, "failed gateway found", (slope("members.found"),), GOSSIP, "in_force_s"),
         Definition(
             role,
             Quantity.DURATION,
-            "failed gateway found (simulated)",
+            "failed gateway found (held to 4 s)",
+            (slope("members.found"),),
+            GOSSIP,
+            "in_force_s",
+        ),
+        Definition(
+            role,
+            Quantity.DURATION,
+            "failed gateway found (simulated, held to 4 s)",
             (slope("members.found.simulated"),),
             GOSSIP,
             "in_force_s",
         ),
-        Definition(role, Quantity.DURATION, "cut link found", (slope("members.cut_found"),), GOSSIP, "in_force_s"),
+        Definition(
+            role, Quantity.DURATION, "cut link found (held to 4 s)", (slope("members.cut_found"),), GOSSIP, "in_force_s"
+        ),
     ]
     return rows + totals(role, rows, TOTALS)
 
--- a/petrelhall/capacity/missing.py
+++ b/petrelhall/capacity/missing.py
@@ -51,9 +51,8 @@
         "heartbeats within a region or a smaller group only, one summary of each group through the distributors; a "
         "gateway then knows some hundred members and not all",
         (
-            (Role.CONTROL, Quantity.DURATION, "failed gateway found"),
-            (Role.CONTROL, Quantity.DURATION, "failed gateway found (simulated)"),
-            (Role.CONTROL, Quantity.DURATION, "cut link found"),
+            (Role.CONTROL, Quantity.DURATION, "failed gateway found (held to 4 s)"),
+            (Role.CONTROL, Quantity.DURATION, "cut link found (held to 4 s)"),
             (Role.CONTROL, Quantity.CPU, "membership"),
             (Role.CONTROL, Quantity.BYTES_OUT, "membership"),
             (Role.CONTROL, Quantity.MEMORY, "membership"),
@@ -140,4 +139,5 @@
 
 def told(figure: Figure) -> str:
     """Name a figure in a sentence."""
-    return f"{figure.role.value}, {figure.quantity.value}: {figure.subject}"
+    text = f"{figure.role.value}, {figure.quantity.value}: {figure.subject}"
+    return f"{text}; extrapolated" if figure.extrapolation > 1.0 else text
--- a/petrelhall/capacity/page.py
+++ b/petrelhall/capacity/page.py
@@ -14,6 +14,7 @@
 from petrelhall.capacity.words import HEADINGS, amount, cells, significant
 from petrelhall.capacity.workload import Rates
 
+POOR_FIT = 0.25  # largest error of a fit that is named beside the table of slopes
 BEGIN, END = "<!-- capacity:begin -->", "<!-- capacity:end -->"
 
 
@@ -97,7 +98,13 @@
     used = {term.slope for definition in definitions() for term in definition.terms}
     unused = [slope.name for slope in record.slopes if slope.name not in used]
     headings = ("slope", "what was measured", "sizes", "fit", "largest error", "left out", "command")
-    return ["### Slopes\n", table(headings, rows), f"Measured, and in no figure: {', '.join(unused) or 'none'}.\n"]
+    poor = [f"{slope.name} ({slope.error:.0%})" for slope in record.slopes if slope.error > POOR_FIT]
+    return [
+        "### Slopes\n",
+        table(headings, rows),
+        f"Fits that are off by more than {POOR_FIT:.0%} at some measured size: {', '.join(poor) or 'none'}.\n",
+        f"Measured, and in no figure: {', '.join(unused) or 'none'}.\n",
+    ]
 
 
 def findings_part(record: Record) -> list[str]:
--- a/petrelhall/capacity/words.py
+++ b/petrelhall/capacity/words.py
@@ -36,12 +36,14 @@
 
 
 def judged(figure: Figure) -> str:
-    """Write a figure's verdict, with the factor by which it misses."""
+    """Write a figure's verdict: the factor by which it misses, and whether it was only extrapolated."""
     if figure.verdict == MISSES and figure.miss is not None:
-        return f"misses x{significant(figure.miss)}"
-    if figure.verdict == PARTLY:
-        return f"{PARTLY}, {len(figure.unmeasured)} not measured"
-    return figure.verdict
+        text = f"misses x{significant(figure.miss)}"
+    elif figure.verdict == PARTLY:
+        text = f"{PARTLY}, {len(figure.unmeasured)} not measured"
+    else:
+        text = figure.verdict
+    return f"{text}, extrapolated" if figure.extrapolation > 1.0 and figure.miss is not None else text
 
 
 def worst(figure: Figure, day: Rates) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -23,7 +23,7 @@
 from petrelhall.capacity.records import RECORD_FORMAT, Curve, Record, Slope, read_record, write_record
 from petrelhall.capacity.sizes import Budget, Size, SizeError, checked
 from petrelhall.capacity.tables import Figure, RecordError, Tables, tables
-from petrelhall.capacity.words import amount, significant
+from petrelhall.capacity.words import amount, judged, significant
 from petrelhall.capacity.workload import ordinary, worst_minutes
 from petrelhall.cli import ask
 from petrelhall.cli.capacity import RECORD
@@ -231,6 +231,8 @@
         figure = find(worked_out, Role.CONTROL, Quantity.TURN, "a whole list of servers")
         self.assertEqual(figure.extrapolation, 2.0)
         self.assertIn("2x beyond the measured sizes", section(a_record(LISTS), worked_out))
+        self.assertEqual(judged(figure), "misses x190, extrapolated")
+        self.assertIn("a whole list of servers; extrapolated", missing(worked_out)[0].figure)
         self.assertNotIn("beyond the measured", section(a_record(LISTS), tables(a_record(LISTS), Size())))
 
     def test_a_size_below_what_was_measured_is_told(self) -> None:
