--- a/petrelhall/capacity/findings.py
+++ b/petrelhall/capacity/findings.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from petrelhall.capacity.figures import Quantity
-from petrelhall.capacity.records import Record
+from petrelhall.capacity.records import Record, Slope
 from petrelhall.capacity.tables import IN_BASE_UNITS
 
 NEAR = 1.25  # a measured cost within this factor of an earlier figure confirms it
@@ -33,6 +33,7 @@
     said: float
     measured: float | None  # ``None``: the slope is not in the record
     quantity: Quantity
+    spread: float | None  # of the repeats at the nearest measured size: (largest - smallest) / median
 
     @property
     def factor(self) -> float | None:
@@ -63,9 +64,13 @@
 def outcomes(record: Record) -> tuple[Outcome, ...]:
     """Hold each earlier figure against the record, at the size that it was said for."""
     slopes = {slope.name: slope for slope in record.slopes}
-    found = []
-    for finding in FINDINGS:
-        slope = slopes.get(finding.slope)
-        measured = None if slope is None else slope.at(finding.size) * IN_BASE_UNITS[slope.unit]
-        found.append(Outcome(finding.subject, finding.slope, finding.size, finding.said, measured, finding.quantity))
-    return tuple(found)
+    return tuple(outcome(finding, slopes.get(finding.slope)) for finding in FINDINGS)
+
+
+def outcome(finding: Finding, slope: Slope | None) -> Outcome:
+    """Hold one earlier figure against its slope, if that is in the record."""
+    measured = spread = None
+    if slope is not None:
+        measured = slope.at(finding.size) * IN_BASE_UNITS[slope.unit]
+        spread = min(zip(slope.sizes, slope.spread, strict=True), key=lambda pair: abs(pair[0] - finding.size))[1]
+    return Outcome(finding.subject, finding.slope, finding.size, finding.said, measured, finding.quantity, spread)
--- a/petrelhall/capacity/page.py
+++ b/petrelhall/capacity/page.py
@@ -90,6 +90,7 @@
             f"{len(slope.sizes)}: {significant(min(slope.sizes))} to {significant(max(slope.sizes))} {slope.variable}",
             formula(slope),
             f"{100.0 * slope.error:.1f}%",
+            f"{max(slope.spread):.0%}",
             slope.leaves_out,
             f"`{slope.command}`",
         )
@@ -97,7 +98,16 @@
     ]
     used = {term.slope for definition in definitions() for term in definition.terms}
     unused = [slope.name for slope in record.slopes if slope.name not in used]
-    headings = ("slope", "what was measured", "sizes", "fit", "largest error", "left out", "command")
+    headings = (
+        "slope",
+        "what was measured",
+        "sizes",
+        "fit",
+        "largest error",
+        "largest spread of repeats",
+        "left out",
+        "command",
+    )
     poor = [f"{slope.name} ({slope.error:.0%})" for slope in record.slopes if slope.error > POOR_FIT]
     return [
         "### Slopes\n",
@@ -121,10 +131,14 @@
                 f"{outcome.slope}({outcome.size:,.0f})",
                 amount(outcome.said, outcome.quantity),
                 amount(outcome.measured, outcome.quantity),
+                "" if outcome.spread is None else f"{outcome.spread:.0%}",
                 judgement,
             )
         )
-    return ["### Earlier findings\n", table(("what", "slope", "said", "measured (fit)", "outcome"), rows)]
+    return [
+        "### Earlier findings\n",
+        table(("what", "slope", "said", "measured (fit)", "spread of repeats", "outcome"), rows),
+    ]
 
 
 def formula(slope: Slope) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -339,8 +339,8 @@
     def test_a_figure_without_a_slope_is_neither(self) -> None:
         record = a_record(a_slope("discovery.whole_list.cpu", (0.0, 0.0281578947)))
         text = section(record, tables(record, Size()))
-        self.assertIn("| discovery.whole_list.cpu(19,000) | 107 ms | 535 ms | refuted: 5 times that |", text)
-        self.assertIn("| accord.lease(2,100) | 421 s | not measured | not measured |", text)
+        self.assertIn("| discovery.whole_list.cpu(19,000) | 107 ms | 535 ms | 0% | refuted: 5 times that |", text)
+        self.assertIn("| accord.lease(2,100) | 421 s | not measured |  | not measured |", text)
 
 
 class Words(unittest.TestCase):
