Capacity figures of configuration distribution beside those of today's consensus

The distribution of configurations is measured at rest and at one change a second, and a gateway pays for it in place of consensus and not beside it. Rows for learner, distributor and replica take distribution.* slopes as they come, between rest and one change a second in proportion; a gateway's totals are given both ways; the mechanism counts as built only where it was measured.

--- a/petrelhall/capacity/figures.py
+++ b/petrelhall/capacity/figures.py
@@ -74,6 +74,7 @@
     POOL_CLOCK = "turns/s of the pool's clock"
     QUOTA_CLOCK = "turns/s of the quotas' clock"
     INTERVAL = "intervals/s"
+    QUIET = "(1 - configuration changes/s)"
     CALLS_AT_ONCE = "calls at once"
 
     def of(self, size: Size, rates: Rates) -> float:
@@ -100,6 +101,7 @@
             Factor.POOL_CLOCK: 1.0 / POOL_CLOCK_S,
             Factor.QUOTA_CLOCK: 1.0 / QUOTA_CLOCK_S,
             Factor.INTERVAL: 1.0,
+            Factor.QUIET: max(0.0, 1.0 - rates.changes),
             Factor.CALLS_AT_ONCE: min(CALLS_AT_ONCE, float(size.gateways)),
         }
         return values[self]
@@ -161,7 +163,7 @@
 LEDGER = "token buckets in owned shares (`quota.ledger`)"
 DOCUMENT = "configuration document, whole with each change (`operator.file`, `accord.documents`)"
 REPLICATION = "consensus among five replicas (`accord.core`)"
-LEARNERS = f"{NOT_BUILT}: configuration distribution with learners"
+LEARNERS = "configuration distribution with learners (`distribution`)"
 AGENT = f"{NOT_BUILT}: an agent of discovery"
 PLATFORM = "the platform's own; a client is `gateway.counter`"
 MANAGEMENT = "management calls, 64 at once (`cli.ask`)"
@@ -174,6 +176,14 @@
     return tuple(slope(f"{name}.{part}", *factors) for name in WHOLE_DOCUMENT)
 
 
+def learning(name: str, part: str) -> tuple[Term, ...]:
+    """Give the terms of a cost of the distribution that was measured at rest and at one change a second."""
+    return (
+        slope(f"distribution.{name}.changes.{part}", Factor.CHANGES),
+        slope(f"distribution.{name}.rest.{part}", Factor.QUIET),
+    )
+
+
 def serving() -> list[Definition]:
     """Give what the serving part of one gateway spends."""
     role = Role.SERVING
@@ -452,7 +462,27 @@
             role, Quantity.DURATION, "cut link found (held to 4 s)", (slope("members.cut_found"),), GOSSIP, "in_force_s"
         ),
     ]
-    return rows + totals(role, rows, TOTALS)
+    planned = [row for row in rows if row.carried_by not in (CONSENSUS, DOCUMENT)] + learner()
+    return [*rows, *totals(rows, TOTALS), *learner(), *totals(planned, TOTALS_WITH_LEARNERS)]
+
+
+def learner() -> list[Definition]:
+    """Give what the control part of a gateway spends as a learner, in place of consensus and whole documents."""
+    role, subject = Role.CONTROL, "as a learner of configurations"
+    network = "control_bytes_per_second"
+    return [
+        Definition(role, Quantity.BYTES_IN, subject, learning("gateway", "bytes_in"), LEARNERS, network),
+        Definition(role, Quantity.BYTES_OUT, subject, learning("gateway", "bytes_out"), LEARNERS, network),
+        Definition(role, Quantity.CPU, subject, learning("gateway", "cpu"), LEARNERS, "control_cpu"),
+        Definition(
+            role,
+            Quantity.MEMORY,
+            subject,
+            (slope("distribution.gateway.memory"),),
+            LEARNERS,
+            "control_memory_bytes",
+        ),
+    ]
 
 
 MESH = (  # what gateways say to each other: as much comes in as goes out, over all of them
@@ -466,15 +496,16 @@
     ((Quantity.CPU,), "total", "control_cpu"),
     ((Quantity.MEMORY,), "total", "control_memory_bytes"),
 )
+TOTALS_WITH_LEARNERS = tuple(
+    (quantities, f"{subject}, as a learner in place of consensus", budget) for quantities, subject, budget in TOTALS
+)
 
 
-def totals(
-    role: Role, rows: list[Definition], sums: tuple[tuple[tuple[Quantity, ...], str, str], ...]
-) -> list[Definition]:
+def totals(rows: list[Definition], sums: tuple[tuple[tuple[Quantity, ...], str, str], ...]) -> list[Definition]:
     """Give the sums over a role's figures of the same quantity."""
     return [
         Definition(
-            role,
+            rows[0].role,
             quantities[-1],
             subject,
             tuple(term for row in rows if row.quantity in quantities for term in row.terms),
@@ -513,6 +544,7 @@
             LEARNERS,
             "machine_cpu",
         ),
+        *spread("replica", role, "with distribution, the coordinator"),
         Definition(role, Quantity.MEMORY, "consensus", (slope("accord.memory", at=REPLICAS),), REPLICATION),
         Definition(
             role, Quantity.DESCRIPTORS, "open connections", (slope("replica.descriptors"),), LEARNERS, "descriptors"
@@ -536,29 +568,56 @@
     ]
 
 
+def spread(name: str, role: Role, subject: str) -> list[Definition]:
+    """Give what a control process of the distribution spends."""
+    rows = [
+        (Quantity.MESSAGES_IN, "messages_in", ""),
+        (Quantity.MESSAGES_OUT, "messages_out", ""),
+        (Quantity.BYTES_IN, "bytes_in", ""),
+        (Quantity.BYTES_OUT, "bytes_out", ""),
+        (Quantity.CPU, "cpu", "machine_cpu"),
+    ]
+    return [
+        *(
+            Definition(role, quantity, subject, learning(name, part), LEARNERS, budget)
+            for quantity, part, budget in rows
+        ),
+        Definition(role, Quantity.MEMORY, subject, (slope(f"distribution.{name}.memory"),), LEARNERS),
+    ]
+
+
 def distributor() -> list[Definition]:
     """Give what one distributor spends; gateways are spread evenly over the distributors."""
     role = Role.DISTRIBUTOR
     anew = (Factor.RECONNECTIONS, Factor.PER_DISTRIBUTOR)
     return [
         Definition(role, Quantity.STATE, "watches held", (counted(Factor.WATCHES),), LEARNERS),
-        Definition(role, Quantity.MESSAGES_IN, "all", (slope("distribution.distributor.messages.in"),), LEARNERS),
-        Definition(role, Quantity.MESSAGES_OUT, "all", (slope("distribution.distributor.messages.out"),), LEARNERS),
-        Definition(role, Quantity.BYTES_IN, "all", (slope("distribution.distributor.bytes.in"),), LEARNERS),
-        Definition(role, Quantity.BYTES_OUT, "all", (slope("distribution.distributor.bytes.out"),), LEARNERS),
+        *spread("distributor", role, "the busiest of five"),
         Definition(
             role, Quantity.BYTES_OUT, "whole documents to those that connect", document("bytes", *anew), LEARNERS
         ),
-        Definition(role, Quantity.CPU, "all", (slope("distribution.distributor.cpu"),), LEARNERS, "machine_cpu"),
-        Definition(role, Quantity.MEMORY, "all", (slope("distribution.distributor.memory"),), LEARNERS),
         Definition(role, Quantity.DESCRIPTORS, "watches", (counted(Factor.WATCHES),), LEARNERS, "descriptors"),
-        Definition(
-            role,
-            Quantity.DURATION,
-            "change in force everywhere",
-            (slope("distribution.in_force"),),
-            LEARNERS,
-            "in_force_s",
+        *(
+            Definition(
+                role,
+                Quantity.DURATION,
+                f"change submitted to in force everywhere, {which}",
+                (slope(f"distribution.in_force.{which}"),),
+                LEARNERS,
+                "in_force_s",
+            )
+            for which in ("median", "99th", "slowest")
+        ),
+        *(
+            Definition(
+                role,
+                Quantity.DURATION,
+                f"change committed to in force everywhere, {which}",
+                (slope(f"distribution.commit_in_force.{which}"),),
+                LEARNERS,
+                "in_force_s",
+            )
+            for which in ("median", "99th", "slowest")
         ),
     ]
 
--- a/petrelhall/capacity/missing.py
+++ b/petrelhall/capacity/missing.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from petrelhall.capacity.figures import Quantity, Role
+from petrelhall.capacity.figures import LEARNERS, Quantity, Role
 from petrelhall.capacity.tables import Figure, Tables
 
 
@@ -17,6 +17,7 @@
     name: str
     takes: str  # what it would take
     answers: tuple[tuple[Role, Quantity, str], ...]
+    carried_by: str = ""  # of figures that were measured with its first piece
 
 
 class Missing(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -27,6 +28,7 @@
     miss: float | None  # ``None``: none of its figures is measured against a budget
     figure: str  # the figure that misses by that factor
     unmeasured: tuple[str, ...]  # its figures that are not measured
+    begun: bool  # whether its first piece is built and measured: off by default, so today's figures are without it
 
 
 MECHANISMS = (
@@ -45,6 +47,7 @@
             (Role.CONTROL, Quantity.CPU, "consensus"),
             (Role.CONTROL, Quantity.BYTES_OUT, "consensus (the busiest gateway)"),
         ),
+        LEARNERS,
     ),
     Mechanism(
         "membership in regions",
@@ -123,18 +126,22 @@
 def missing(worked_out: Tables) -> tuple[Missing, ...]:
     """Give the mechanisms, the one whose figures miss most first and those without a measured figure last."""
     figures = {(figure.role, figure.quantity, figure.subject): figure for figure in worked_out.figures}
-    found = [one_missing(mechanism, [figures[key] for key in mechanism.answers]) for mechanism in MECHANISMS]
+    carriers = {figure.carried_by for figure in worked_out.figures}
+    found = [
+        one_missing(mechanism, [figures[key] for key in mechanism.answers], mechanism.carried_by in carriers)
+        for mechanism in MECHANISMS
+    ]
     return tuple(sorted(found, key=lambda one: -1.0 if one.miss is None else one.miss, reverse=True))
 
 
-def one_missing(mechanism: Mechanism, figures: list[Figure]) -> Missing:
+def one_missing(mechanism: Mechanism, figures: list[Figure], begun: bool) -> Missing:
     """Find the figure that misses most without one mechanism."""
     judged = [(figure.miss, figure) for figure in figures if figure.miss is not None]
     unmeasured = tuple(told(figure) for figure in figures if figure.worst is None)
     if not judged:
-        return Missing(mechanism.name, mechanism.takes, None, "", unmeasured)
+        return Missing(mechanism.name, mechanism.takes, None, "", unmeasured, begun)
     miss, figure = max(judged, key=lambda pair: pair[0])
-    return Missing(mechanism.name, mechanism.takes, miss, told(figure), unmeasured)
+    return Missing(mechanism.name, mechanism.takes, miss, told(figure), unmeasured, begun)
 
 
 def told(figure: Figure) -> str:
--- a/petrelhall/capacity/page.py
+++ b/petrelhall/capacity/page.py
@@ -15,6 +15,7 @@
 from petrelhall.capacity.workload import Rates
 
 POOR_FIT = 0.25  # largest error of a fit that is named beside the table of slopes
+BEGUN = " (a first piece is built, off by default; its own rows are in the tables)"
 BEGIN, END = "<!-- capacity:begin -->", "<!-- capacity:end -->"
 
 
@@ -170,7 +171,8 @@
 def missing_part(found: tuple[Missing, ...]) -> list[str]:
     """Give the missing mechanisms in order."""
     lines = [
-        f"{place}. **{one.name}**: {how_far(one)}. It would take: {one.takes}." for place, one in enumerate(found, 1)
+        f"{place}. **{one.name}**{BEGUN if one.begun else ''}: {how_far(one)}. It would take: {one.takes}."
+        for place, one in enumerate(found, 1)
     ]
     return ["### Missing mechanisms, by how far they miss\n", "\n".join(lines) + "\n"]
 
--- a/petrelhall/capacity/tables.py
+++ b/petrelhall/capacity/tables.py
@@ -11,7 +11,17 @@
 
 import msgspec
 
-from petrelhall.capacity.figures import REPLICAS, SEEN, Definition, Quantity, Role, Term, definitions
+from petrelhall.capacity.figures import (
+    LEARNERS,
+    NOT_BUILT,
+    REPLICAS,
+    SEEN,
+    Definition,
+    Quantity,
+    Role,
+    Term,
+    definitions,
+)
 from petrelhall.capacity.records import RECORD_FORMAT, Record, Slope
 from petrelhall.capacity.sizes import Budget, Size
 from petrelhall.capacity.workload import Rates, ordinary, worst_minutes
@@ -32,6 +42,7 @@
     "descriptors": 1.0,
     "": 1.0,
 }
+DISTRIBUTION = "distribution."
 FITS, MISSES, PARTLY, UNMEASURED, UNBUDGETED = "fits", "misses", "fits so far", "not measured", "no budget"
 
 
@@ -118,9 +129,15 @@
                 (self.extrapolation(term, rates) for term in known if term.slope for rates in (day, *minutes)),
                 default=0.0,
             ),
-            definition.carried_by,
+            self.carrier(definition),
         )
 
+    def carrier(self, definition: Definition) -> str:
+        """Name what carries a figure; a mechanism that nobody has measured does not count as built."""
+        if definition.carried_by == LEARNERS and not measured_distribution(self.slopes):
+            return f"{NOT_BUILT}: {LEARNERS}"
+        return definition.carried_by
+
     def has(self, term: Term) -> bool:
         """Tell whether a term can be worked out."""
         return not term.slope or term.slope in self.slopes
@@ -186,6 +203,11 @@
     return {SEEN: "tenants seen", REPLICAS: "replicas"}.get(term.at, slope.variable)
 
 
+def measured_distribution(names: Iterable[str]) -> bool:
+    """Tell whether the distribution of configurations is among the measured slopes."""
+    return any(name.startswith(DISTRIBUTION) for name in names)
+
+
 def verdict(worst: float | None, miss: float | None, missing: tuple[str, ...]) -> str:
     """Say whether a figure fits its budget."""
     if worst is None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -343,6 +343,56 @@
         self.assertIn("| accord.lease(2,100) | 421 s | not measured |  | not measured |", text)
 
 
+class Distribution(unittest.TestCase):
+    """What is measured of the distribution of configurations stands beside what runs today."""
+
+    def record(self) -> Record:
+        sizes = (100.0, 300.0, 1000.0, 2100.0)
+        slopes = {
+            "distribution.gateway.rest.cpu": ("ms/s", 1.0),
+            "distribution.gateway.changes.cpu": ("ms/s", 5.0),
+            "members.cpu": ("ms/s", 10.0),
+            "accord.cpu": ("ms/s", 50.0),
+            "distribution.in_force.slowest": ("ms", 3000.0),
+        }
+        return a_record(
+            *(
+                a_slope(name, (value,), Curve.CONSTANT, unit, "gateways", sizes)
+                for name, (unit, value) in slopes.items()
+            )
+        )
+
+    def test_a_gateway_is_between_rest_and_one_change_a_second(self) -> None:
+        cpu = find(tables(self.record(), Size()), Role.CONTROL, Quantity.CPU, "as a learner of configurations")
+        assert cpu.ordinary is not None and cpu.worst is not None
+        self.assertAlmostEqual(cpu.ordinary, 0.001 * (0.12731 * 5.0 + 0.87269 * 1.0), places=7)
+        self.assertAlmostEqual(cpu.worst, 0.001 * 1.01852 * 5.0, places=7)  # 1.02 changes/s: no rest is left
+
+    def test_a_total_has_consensus_or_the_learner_and_never_both(self) -> None:
+        worked_out = tables(self.record(), Size())
+        today = find(worked_out, Role.CONTROL, Quantity.CPU, "total")
+        planned = find(worked_out, Role.CONTROL, Quantity.CPU, "total, as a learner in place of consensus")
+        assert today.worst is not None and planned.worst is not None
+        self.assertAlmostEqual(today.worst, 0.06, places=12)
+        self.assertAlmostEqual(planned.worst, 0.01 + 0.001 * 1.01852 * 5.0, places=7)
+        self.assertNotIn("distribution.gateway.rest.cpu", today.unmeasured)
+        self.assertNotIn("document.tenants.cpu", planned.unmeasured)
+
+    def test_it_counts_as_built_only_where_it_was_measured(self) -> None:
+        for record, begun in ((self.record(), True), (a_record(LISTS), False)):
+            worked_out = tables(record, Size())
+            watches = find(worked_out, Role.DISTRIBUTOR, Quantity.DESCRIPTORS, "watches")
+            self.assertEqual(watches.carried_by.startswith("not built: "), not begun)
+            (one,) = [one for one in missing(worked_out) if one.name.startswith("configuration distribution")]
+            self.assertEqual(one.begun, begun)
+            self.assertEqual("a first piece is built" in section(record, worked_out), begun)
+
+    def test_its_changes_are_held_to_the_four_seconds(self) -> None:
+        subject = "change submitted to in force everywhere, slowest"
+        figure = find(tables(self.record(), Size()), Role.DISTRIBUTOR, Quantity.DURATION, subject)
+        self.assertEqual((figure.worst, figure.miss, figure.verdict), (3.0, 0.75, "fits"))
+
+
 class Words(unittest.TestCase):
     """Numbers as they are written."""
 
