--- /dev/null
+++ b/petrelhall/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of the configuration: names, entries, deltas, digests and what is staged and active. Pure."""
--- /dev/null
+++ b/petrelhall/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of the configuration to gateways that learn and hold a lease, but do not vote. Pure."""
