--- a/petrelhall/distribution/coordinator.py
+++ b/petrelhall/distribution/coordinator.py
@@ -136,7 +136,7 @@
 
     def __init__(self, number: int, replicas: int, timing: Timing, document: Document, now: float) -> None:
         self.number, self.replicas, self.timing, self.document = number, replicas, timing, document
-        self.slot, self.record, self.lease_until = 0, FIRST_RECORD, -math.inf
+        self.slot, self.record, self.lease_until = -1, FIRST_RECORD, -math.inf
         self.table = LeaseTable(timing)
         self.fence = math.inf  # before, leases that earlier terms granted may run
         self.fenced_term = -1
@@ -180,7 +180,7 @@
     def on_consensus(self, now: float, event: ConsensusState) -> None:
         """Take in what is in force among the replicas."""
         self.lease_until = event.lease_until
-        if event.slot > self.slot or (event.slot == self.slot and event.record != self.record):
+        if event.slot > self.slot:
             self.enter(now, event.slot, event.record)
         if self.leads(now) and self.fenced_term != self.record.term:
             self.fenced_term = self.record.term
@@ -189,8 +189,9 @@
     def enter(self, now: float, slot: int, record: ControlRecord) -> None:
         """Go on from a later slot's record."""
         before, self.slot, self.record = self.record, slot, record
+        self.heard_at = now  # somebody goes on
         if record.term != before.term:
-            self.heard_at, self.fence = now, math.inf
+            self.fence = math.inf
             self.table = LeaseTable(self.timing)  # what it holds is from another term; the fence stands for it
             self.waiting.clear()
             self.queue.clear()
--- a/petrelhall/distribution/learner.py
+++ b/petrelhall/distribution/learner.py
@@ -185,6 +185,10 @@
 
     # Turns
 
+    def due(self) -> float:
+        """Give when the next ``Tick`` has something to do; earlier ones do no harm."""
+        return self.deadline if self.connecting or self.waiting else self.next_at
+
     def handle(self, now: float, event: LearnerEvent) -> list[LearnerAction]:
         """Take in one event; the time never goes back."""
         self.actions = []
