--- a/petrelhall/distribution/publisher.py
+++ b/petrelhall/distribution/publisher.py
@@ -184,10 +184,12 @@
         )
 
     def current_snapshot(self) -> Snapshot:
-        """Give a whole version from which the kept changes lead to the active one."""
-        if self.snapshot is None or not self.reaches(self.snapshot.version):
-            self.snapshot = Snapshot(self.document, self.timing.part_entries)
-        return self.snapshot
+        """Give a whole version from which the kept changes lead to the active one: one that others fetch, or anew."""
+        snapshot = self.snapshot
+        shared = any(fetch.snapshot is snapshot for fetch in self.fetches.values())
+        if snapshot is None or not shared or not self.reaches(snapshot.version):
+            snapshot = self.snapshot = Snapshot(self.document, self.timing.part_entries)
+        return snapshot
 
     def reaches(self, version: VersionName) -> bool:
         """Tell whether the kept changes lead from a version to the active one."""
