--- a/petrelhall/cli/main.py
+++ b/petrelhall/cli/main.py
@@ -5,6 +5,7 @@
 import click
 
 from petrelhall.cli.check import check
+from petrelhall.cli.config import config
 from petrelhall.cli.demo import demo
 from petrelhall.cli.drill import drill
 from petrelhall.cli.members import members
@@ -27,5 +28,5 @@
     """
 
 
-for command in (check, schema, demo, drill, members, policy, quota, shift, soak, standin):
+for command in (check, config, schema, demo, drill, members, policy, quota, shift, soak, standin):
     main.add_command(command)
--- a/petrelhall/distribution/coordinator.py
+++ b/petrelhall/distribution/coordinator.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 from typing import Any
 
@@ -388,6 +388,9 @@
             "staged": self.staged_number,
             "queued": len(self.queue),
             "unprepared": sorted(self.table.unprepared(now, self.staged_number)) if self.staged_number else [],
-            "gateways": len({gateway for gateway, _ in self.table.holders}),
-            "missing": self.table.missing(now, active.number) if self.leads(now) else [],
+            "versions": dict(Counter(str(holder.held) for holder in self.table.latest().values())),
+            "missing": [
+                {"gateway": gateway, "held": holder.held, "heard_ms_ago": round(now - holder.heard_at)}
+                for gateway, holder in (self.table.missing(now, active.number) if self.leads(now) else [])
+            ],
         }
--- a/petrelhall/distribution/distributor.py
+++ b/petrelhall/distribution/distributor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from petrelhall.configuration.document import Document
 from petrelhall.distribution.learner import (
@@ -169,3 +170,22 @@
             if index < len(sent.origins):
                 origin = sent.origins[index]
                 self.actions += self.publisher.granted(now, origin.connection, origin.sequence, verdict.grant)
+
+    def view(self, now: float) -> dict[str, Any]:
+        """Give what operators want to see, as JSON's values."""
+        upstream, publisher = self.upstream, self.publisher
+        return {
+            "distributor": self.number,
+            "term": upstream.term,
+            "coordinator": upstream.coordinator,
+            "follows": upstream.connected,
+            "active": {
+                "version": self.document.name.number,
+                "digest": self.document.name.digest.hex(),
+                "age_ms": round(now - upstream.changed_at),
+            },
+            "staged": upstream.staged.target.number if upstream.staged is not None else 0,
+            "watches": len(publisher.pending),
+            "fetching": len(publisher.fetches),
+            "trouble": upstream.trouble,
+        }
--- a/petrelhall/distribution/leases.py
+++ b/petrelhall/distribution/leases.py
@@ -63,9 +63,18 @@
             if self.holders[key].until <= now:
                 del self.holders[key]
 
-    def missing(self, now: float, version: int) -> list[int]:
+    def latest(self) -> dict[int, Holder]:
+        """Give, of each gateway heard of lately, the process that was heard of last."""
+        found: dict[int, Holder] = {}
+        for (gateway, _), holder in self.holders.items():
+            if gateway not in found or found[gateway].heard_at < holder.heard_at:
+                found[gateway] = holder
+        return found
+
+    def missing(self, now: float, version: int) -> list[tuple[int, Holder]]:
         """Give the gateways, of those heard of lately, that hold no lease on a version."""
-        holding = {
-            gateway for (gateway, _), holder in self.holders.items() if holder.until > now and holder.version == version
-        }
-        return sorted({gateway for gateway, _ in self.holders} - holding)
+        return [
+            (gateway, holder)
+            for gateway, holder in sorted(self.latest().items())
+            if holder.until <= now or holder.version != version
+        ]
--- a/petrelhall/distribution/messages.py
+++ b/petrelhall/distribution/messages.py
@@ -2,7 +2,7 @@
 
 A gateway (and a distributor, which follows a replica in the same way) sends ``Watch`` and gets one ``Update`` for each.
 Distributors send ``Report`` to the coordinator and get a ``Verdict``. Replicas tell each other ``Heartbeat``.
-Operators send ``Submit`` and get ``Outcome``.
+Operators send ``Submit`` and get ``Outcome``, or ``StatusRequest`` and get ``Status``.
 """
 
 from __future__ import annotations
@@ -139,7 +139,17 @@
     reason: Reason = ""
 
 
-Message = Watch | Update | Report | Verdict | Heartbeat | Submit | Outcome
+class StatusRequest(Struct, frozen=True, array_like=True, tag="status?"):
+    """An operator asks a control process for its view."""
+
+
+class Status(Struct, frozen=True, array_like=True, tag="status"):
+    """Answers with the view, as JSON."""
+
+    view: str
+
+
+Message = Watch | Update | Report | Verdict | Heartbeat | Submit | Outcome | StatusRequest | Status
 
 DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/petrelhall/net/frames.py
@@ -0,0 +1,149 @@
+"""Frames of bytes, each behind its length, on TCP connections."""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+import struct
+from collections.abc import Callable
+
+from petrelhall.net.loop import Loop
+from petrelhall.net.stream import Address, Stream, bound
+from petrelhall.net.stream import connect as connect_stream
+
+HEADER = struct.Struct(">I")
+MOST_FRAME_BYTES = 4 << 20
+MOST_UNSENT_BYTES = 16 << 20  # past that the other side has stopped reading
+BACKLOG = 1024
+
+
+class FrameConnection:
+    """One connection. It is closed in a turn of its own, since a handler may not close another's descriptor."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        on_frame: Callable[[bytes], None],
+        on_close: Callable[[], None],
+        on_open: Callable[[], None] | None = None,
+    ) -> None:
+        self.loop, self.on_frame, self.on_close, self.on_open = loop, on_frame, on_close, on_open
+        self.stream: Stream | None = None
+        self.buffer = bytearray()
+        self.closed = False
+
+    def send(self, content: bytes) -> None:
+        """Send a frame; one that cannot go is lost with the connection."""
+        if self.closed or self.stream is None or self.stream.ended:
+            return
+        self.stream.write(HEADER.pack(len(content)) + content)
+        if len(self.stream.outgoing) > MOST_UNSENT_BYTES:
+            self.stream.end(errno.ENOBUFS)
+            self.loop.after(0.0, self.on_change)
+
+    def on_change(self) -> None:
+        """Look what has become of the connection."""
+        stream = self.stream
+        if self.closed or stream is None:
+            return
+        if self.on_open is not None and not stream.connecting and not stream.ended:
+            on_open, self.on_open = self.on_open, None
+            on_open()
+        if stream.incoming:
+            self.buffer += stream.take()
+            self.read_frames(stream)
+        if stream.ended and not self.closed:
+            self.close()
+            self.on_close()
+
+    def read_frames(self, stream: Stream) -> None:
+        """Pass on all frames that are whole."""
+        start = 0
+        while len(self.buffer) - start >= HEADER.size and not self.closed:
+            (size,) = HEADER.unpack_from(self.buffer, start)
+            if size > MOST_FRAME_BYTES:
+                stream.end(errno.EPROTO)
+                break
+            if len(self.buffer) - start < HEADER.size + size:
+                break
+            content = bytes(self.buffer[start + HEADER.size : start + HEADER.size + size])
+            start += HEADER.size + size
+            self.on_frame(content)
+        del self.buffer[:start]
+
+    def close(self) -> None:
+        """Close the connection; its owner is not told of what it did itself."""
+        if not self.closed:
+            self.closed = True
+            if self.stream is not None:
+                self.loop.after(0.0, self.stream.close)
+
+
+def connect(
+    loop: Loop,
+    address: Address,
+    on_frame: Callable[[bytes], None],
+    on_close: Callable[[], None],
+    on_open: Callable[[], None],
+) -> FrameConnection:
+    """Begin to connect; where that fails at once, the owner is told in the next turn."""
+    connection = FrameConnection(loop, on_frame, on_close, on_open)
+    stream = connect_stream(loop, address, connection.on_change)
+    if isinstance(stream, OSError):
+        connection.closed = True
+        loop.after(0.0, on_close)
+    else:
+        connection.stream = stream
+    return connection
+
+
+class FrameListener:
+    """Takes connections, each under a number that is never used twice."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        on_frame: Callable[[int, bytes], None],
+        on_close: Callable[[int], None],
+    ) -> None:
+        self.loop, self.on_frame, self.on_close = loop, on_frame, on_close
+        self.connections: dict[int, FrameConnection] = {}
+        self.last = 0
+        self.sock = bound(address)
+        self.sock.listen(BACKLOG)
+        loop.register(self.sock.fileno(), select.EPOLLIN, self.on_ready)
+
+    @property
+    def address(self) -> Address:
+        """Give where it listens."""
+        host, port = self.sock.getsockname()
+        return host, port
+
+    def on_ready(self, mask: int) -> None:
+        """Take one connection; epoll tells again if there are more."""
+        try:
+            sock, _ = self.sock.accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.last += 1
+        number = self.last
+        connection = FrameConnection(
+            self.loop, lambda content: self.on_frame(number, content), lambda: self.forget(number)
+        )
+        connection.stream = Stream(self.loop, sock, connection.on_change)
+        self.connections[number] = connection
+
+    def forget(self, number: int) -> None:
+        """Forget a connection that the other side has closed."""
+        self.connections.pop(number, None)
+        self.on_close(number)
+
+    def send(self, number: int, content: bytes) -> None:
+        """Send a frame on a connection that may be gone."""
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.send(content)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -210,6 +210,8 @@
     Heartbeat(1, 2),
     Submit("c", (Entry("a", b"1"),), ("b",), 4),
     messages.Outcome("c", "in force", 3, 1),
+    messages.StatusRequest(),
+    messages.Status("{}"),
 ]
 
 
@@ -797,7 +799,10 @@
     sent = [one.verdict for one in alone.of(SendVerdict)]
     assert sorted(index for verdict in sent for index in verdict.granted or (0,)) == [0, 0, 1]
     assert {verdict.grant.version.number for verdict in sent} == {1}
-    assert alone.coordinator.view(alone.now)["missing"] == []
+    view = alone.coordinator.view(alone.now)
+    assert (view["missing"], view["versions"], view["active"]["version"]) == ([], {"1": 3}, 1)
+    view = alone.coordinator.view(alone.now + TIMING.granted_ms + 7)
+    assert [(one["gateway"], one["held"], one["heard_ms_ago"]) for one in view["missing"]][0] == (1, 1, 1552)
 
 
 def test_who_dies_between_activation_and_release_is_waited_out() -> None:
