A gateway learns the shared part from distributors, off unless its file says so

The section distribution of the operators' file, in place of accord, has a learner's core on the project's loop bring the entry shared, admit only while its lease runs, refuse content by the gateway's own checks and show all at /control/configuration.

--- a/petrelhall/control/calls.py
+++ b/petrelhall/control/calls.py
@@ -12,7 +12,12 @@
 from urllib.parse import unquote_to_bytes
 
 PREFIX = b"/control/"
-VIEWS = {b"/control/members": "members", b"/control/quota": "quota", b"/control/policy": "policy"}
+VIEWS = {
+    b"/control/members": "members",
+    b"/control/quota": "quota",
+    b"/control/policy": "policy",
+    b"/control/configuration": "configuration",
+}
 POLICY = re.compile(rb"/control/policy(?:/(back|abort|settle|begin))?")
 BASE, DIGEST = re.compile(rb"base=(\d{1,9})"), re.compile(rb"digest=([0-9a-f]{32})")
 SERVER = re.compile(rb"/control/servers/([^/?#]{1,256})/(offline|online)")
--- a/petrelhall/gateway/agreement.py
+++ b/petrelhall/gateway/agreement.py
@@ -63,6 +63,8 @@
 class Agreement:
     """One gateway's part in agreeing on the policy; not there where the operators' file does not ask for it."""
 
+    changed_by = "petrelhall policy propose"
+
     def __init__(
         self,
         loop: Loop,
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -41,6 +41,7 @@
 
 if TYPE_CHECKING:
     from petrelhall.gateway.agreement import Agreement
+    from petrelhall.gateway.learning import Learning
     from petrelhall.gateway.membership import Membership
     from petrelhall.gateway.sharing import Sharing
     from petrelhall.gateway.shifting import Shifter
@@ -81,7 +82,7 @@
         self.peers: Peers | None = None
         self.membership: Membership | None = None
         self.sharing: Sharing | None = None
-        self.agreement: Agreement | None = None
+        self.agreement: Agreement | Learning | None = None
         wrong = self.unfit(operator.shared)
         if wrong:
             raise OperatorError(f"{operator_path}: shared.{wrong}")
@@ -110,11 +111,22 @@
                 self.mgmt.views["members"] = self.membership.view
             if self.sharing is not None:
                 self.mgmt.views["quota"] = self.sharing.view
-            if self.agreement is not None:
-                self.mgmt.views["policy"], self.mgmt.policy = self.agreement.view, self.agreement.call
+            self.show_policy(self.mgmt)
         look_ms = LOOK_MS if config.mgmt is not None else CALM_LOOK_MS
         self.handover.watch(self.loop, look_ms, self.ready, self.hand_over, self.snapshot)
 
+    def show_policy(self, mgmt: Management) -> None:
+        """Let operators see, and by accord change, the policy that all gateways share."""
+        if self.agreement is None:
+            return
+        if self.operator.distribution.on:
+            mgmt.views["configuration"] = self.agreement.view
+            return
+        from petrelhall.gateway.agreement import Agreement
+
+        if isinstance(self.agreement, Agreement):
+            mgmt.views["policy"], mgmt.policy = self.agreement.view, self.agreement.call
+
     def ready(self) -> bool:
         """Tell whether this process takes clients: it listens, is not ending, and knows servers to send to."""
         return not self.stopping and self.serving and not self.front.closing and bool(self.fleet.addresses)
@@ -204,6 +216,8 @@
                     self.log.write,
                 )
                 self.desk.agreed = self.agreement
+        if self.operator.distribution.on:
+            self.learn()
         if self.operator.quota.on:
             from petrelhall.gateway.sharing import Sharing
 
@@ -223,6 +237,23 @@
         if config.settings.counter and config.counter:
             self.counter = self.counter_at(config.counter)
 
+    def learn(self) -> None:
+        """Have the shared part brought by distributors."""
+        from petrelhall.gateway.learning import Learning
+
+        config = self.config
+        self.agreement = Learning(
+            self.loop,
+            self.operator.distribution,
+            config.settings,
+            self.operator.shared,
+            self.unfit,
+            self.apply,
+            self.counts,
+            self.log.write,
+        )
+        self.desk.agreed = self.agreement
+
     def unfit(self, shared: Shared) -> str:
         """Say why a shared part cannot be served here; empty where it can."""
         config = self.config
@@ -288,7 +319,8 @@
             new = load(os.environ, anew=True)
             operator = read(self.operator_path) if self.operator_path else self.operator
             if self.agreement is not None and operator.shared != self.operator.shared:
-                self.log.write("operators' file: shared is changed by `petrelhall policy propose` only; left as it is")
+                by = self.agreement.changed_by
+                self.log.write(f"operators' file: shared is changed by `{by}` only; left as it is")
                 operator = msgspec.structs.replace(operator, shared=self.operator.shared)
             wrong = refused(operator.shared, operator, new.settings, new.plans, new.classes)
             if wrong:
@@ -299,7 +331,7 @@
         self.counts.add("reload", "taken")
         changes = differences(self.operator, operator)
         if changes:
-            for part in ("members", "quota", "accord"):
+            for part in ("members", "quota", "accord", "distribution"):
                 if getattr(operator, part) != getattr(self.operator, part):
                     self.log.write(f"operators' file: {part} takes hold at the next start")
             self.operator = operator
--- a/petrelhall/operator/file.py
+++ b/petrelhall/operator/file.py
@@ -57,11 +57,29 @@
             " and ".join(f"{name}.share, {share:g}" for name, share in shares.items())
             + ": together they leave the other parts less than a tenth of the messages"
         )
-    for reason in contradictions(file.links) + (unfit(file.shift) if file.shift is not None else []):
+    for reason in (
+        contradictions(file.links) + (unfit(file.shift) if file.shift is not None else []) + unlearnable(file)
+    ):
         raise OperatorError(reason)
     return file
 
 
+def unlearnable(file: File) -> list[str]:
+    """Give what keeps a gateway from learning as its file says."""
+    distribution = file.distribution
+    found = []
+    for place, text in enumerate(distribution.distributors):
+        if not 0 < int(text.rpartition(":")[2]) < 65536:
+            found.append(f"distribution.distributors[{place}]: {text!r} has no port")
+        if distribution.distributors.index(text) != place:
+            found.append(f"distribution.distributors[{place}]: {text!r} is there twice")
+    if distribution.on and not distribution.distributors:
+        found.append("distribution.distributors: none, and distribution.on is true")
+    if distribution.on and file.accord.on:
+        found.append("distribution.on: true beside accord.on; one of them brings the shared part")
+    return found
+
+
 def unfit(shift: Shift) -> list[str]:
     """Give what is wrong with pools and a move that are each well formed."""
     found = []
--- a/petrelhall/operator/settings.py
+++ b/petrelhall/operator/settings.py
@@ -405,6 +405,45 @@
     ] = ""
 
 
+class Distribution(Struct, frozen=True, forbid_unknown_fields=True):
+    """The shared part learned from distributors (`petrelhall.replica`), in place of accord. Takes hold at a start."""
+
+    on: bool = False
+    distributors: Annotated[
+        tuple[Annotated[str, Meta(pattern=r"^[^\s:]+:[0-9]{1,5}$")], ...],
+        Meta(
+            max_length=16,
+            description=(
+                "HOST:PORT of each; a gateway begins with the one at the place of its own position, and falls back on "
+                "the next"
+            ),
+        ),
+    ] = ()
+    lease_ms: Annotated[
+        int,
+        Meta(
+            ge=300,
+            le=60000,
+            description="for which a gateway may serve after it last asked; that of the control processes' files",
+        ),
+    ] = 1500
+    wait_ms: Annotated[
+        float,
+        Meta(
+            ge=0.0,
+            le=1000.0,
+            description="how long a request waits where a change is just taking hold, before it is refused",
+        ),
+    ] = 400.0
+    begin: Annotated[
+        Literal["wait", "file"],
+        Meta(description="until anything was heard: refuse, or serve by the shared part of the file"),
+    ] = "wait"
+    stamp: Annotated[
+        bool, Meta(description="tell boxes in X-Policy under which version a request was admitted, and when")
+    ] = False
+
+
 class Limits(Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """What is said of a plan in place of the platform's own figures."""
 
@@ -425,7 +464,7 @@
 
 
 class Shared(Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
-    """What all gateways must agree on; with accord on, changed by `petrelhall policy propose` only."""
+    """What all gateways must agree on; with accord or distribution on, changed by their commands only."""
 
     plans: dict[str, Limits] = {}
     classes: dict[str, ClassLimits] = {}
@@ -440,4 +479,5 @@
     members: Membership = Membership()
     quota: Quota = Quota()
     accord: Accord = Accord()
+    distribution: Distribution = Distribution()
     shared: Shared = Shared()
