--- a/petrelhall/distribution/consensus.py
+++ b/petrelhall/distribution/consensus.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields
 
 import msgspec
 
@@ -14,10 +14,11 @@
 from petrelhall.accord.words import FULL
 from petrelhall.configuration.records import FIRST_RECORD, ControlRecord, decode_record, encode_record
 from petrelhall.distribution.coordinator import ConsensusState, ProposalFailed
-from petrelhall.distribution.timing import Timing
+from petrelhall.distribution.timing import MARGIN, Timing
 
 MESSAGES_PER_S = 4000.0  # that replicas may send each other: few are sent, but none may wait for its turn
 LATE_MS = 100.0  # a round trip between regions, at most
+CHECK_ROUNDS = 4.0  # round trips in which a record is fetched and looked at
 RETRY_MS = 30.0  # between two messages of one kind to a replica that has not answered: replicas are few
 
 
@@ -40,10 +41,23 @@
 ConsensusAction = SendConsensus | PersistVotes
 
 
-def replica_pace(replicas: int, timing: Timing) -> Pace:
+class ReplicaPace(Pace):
+    """The consensus' timing among few replicas."""
+
+    @property
+    def check_ms(self) -> float:
+        """Give the time in which all replicas must have looked at a record, before it is proposed anew.
+
+        A replica that dies meanwhile is asked until then; by then its lease has run out, and nobody asks it again.
+        """
+        return MARGIN * self.life_ms + CHECK_ROUNDS * LATE_MS
+
+
+def replica_pace(replicas: int, timing: Timing) -> ReplicaPace:
     """Give the consensus' timing for so many replicas."""
     found = pace(replicas, replicas, MESSAGES_PER_S, 1.0, timing.consensus_lease_ms, 0.0, LATE_MS, strictest=False)
-    return replace(found, retry_ms=RETRY_MS, again_ms=RETRY_MS)
+    known = {one.name: getattr(found, one.name) for one in fields(found)}
+    return ReplicaPace(**{**known, "retry_ms": RETRY_MS, "again_ms": RETRY_MS})
 
 
 def check_record(content: bytes) -> str:
--- a/petrelhall/distribution/distributor.py
+++ b/petrelhall/distribution/distributor.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from petrelhall.configuration.deltas import Delta
 from petrelhall.configuration.document import Document
+from petrelhall.configuration.versions import VersionName
 from petrelhall.distribution.learner import (
     Connect,
     Connected,
@@ -120,14 +122,25 @@
     def follow(self, now: float, event: LearnerEvent) -> None:
         """Follow the replica, and publish what is new."""
         upstream, publisher = self.upstream, self.publisher
-        before = upstream.term, self.document.name, upstream.staged
+        before = self.published(now)
         for action in upstream.handle(now, event):
             if isinstance(action, PutInForce):
                 publisher.applied(action.deltas)
             elif not isinstance(action, Staged):
                 self.actions.append(action)
-        if (upstream.term, self.document.name, upstream.staged) != before:
-            self.actions += publisher.publish(now, upstream.term, upstream.coordinator, upstream.staged)
+        if self.published(now) != before or publisher.detached != self.detached(now):
+            self.actions += publisher.publish(
+                now, upstream.term, upstream.coordinator, upstream.active, upstream.staged, self.detached(now)
+            )
+
+    def published(self, now: float) -> tuple[int, VersionName, VersionName, Delta | None]:
+        """Give what is told to those that watch."""
+        upstream = self.upstream
+        return upstream.term, upstream.active, self.document.name, upstream.staged
+
+    def detached(self, now: float) -> bool:
+        """Tell whether no replica that hears of a majority has been heard for long."""
+        return now - self.upstream.heard_at > self.timing.detached_ms + self.timing.wait_ms
 
     def on_watch(self, now: float, event: WatchReceived) -> None:
         """Answer a watch or have it wait, and report what it says."""
--- a/petrelhall/distribution/learner.py
+++ b/petrelhall/distribution/learner.py
@@ -168,7 +168,7 @@
         self.distributor = -1
         self.link = self.sequence = 0
         self.connected = self.connecting = self.waiting = False
-        self.sent_at = now
+        self.sent_at = self.heard_at = now  # heard_at: when an answer came of one that hears of a majority of replicas
         self.deadline = math.inf  # of the connection, or of the answer
         self.next_at = now + self.random.uniform(0.0, timing.jitter_ms)  # of the next connection or watch
         self.failures = 0
@@ -295,14 +295,26 @@
         except ConfigurationError as error:
             self.refuse(now, error)
         else:
-            self.failures = 0
             self.take_grant(update)
+            self.judge_source(now, update)
         if self.applied or self.applied is None:
             self.changed_at = now
             self.actions.append(PutInForce(self.document.name, tuple(self.applied) if self.applied else None))
         if self.document.name == self.active:
             self.trouble = ""
 
+    def judge_source(self, now: float, update: Update) -> None:
+        """Go on with a source that is of use; leave one that is detached, or has not got what it tells of."""
+        progress = self.applied is None or self.applied or update.part is not None or update.retry_ms
+        behind = self.document.name.number < update.active.number and not progress
+        if not update.detached:
+            self.heard_at = now
+        if update.detached or behind:
+            self.actions.append(Disconnect(self.link))
+            self.lost(now)
+        else:
+            self.failures = 0
+
     def take_grant(self, update: Update) -> None:
         """Hold a lease on what is in force here, counted from when it was asked for."""
         grant = update.grant
--- a/petrelhall/distribution/messages.py
+++ b/petrelhall/distribution/messages.py
@@ -64,7 +64,13 @@
 
 
 class Update(Struct, frozen=True, array_like=True, tag="update"):
-    """Answers a watch. ``retry_ms``: the whole is wanted but too many fetch it, come again after that."""
+    """Answers a watch.
+
+    ``active``: the latest active version that the sender knows of; one that has not got its content leaves
+    ``changes`` empty, and is of no use to who wants it.
+    ``retry_ms``: the whole is wanted but too many fetch it, come again after that.
+    ``detached``: the sender has not heard of a majority of the replicas for long: another is to be asked.
+    """
 
     sequence: Number
     term: Number
@@ -75,6 +81,7 @@
     part: SnapshotPart | None = None
     grant: Grant | None = None
     retry_ms: Number = 0
+    detached: bool = False
 
 
 class LeaseRequest(Struct, frozen=True, array_like=True):
--- a/petrelhall/distribution/publisher.py
+++ b/petrelhall/distribution/publisher.py
@@ -47,6 +47,8 @@
         self.timing, self.document = timing, document
         self.history = History(timing.kept_deltas)
         self.term = self.coordinator = 0
+        self.active = document.name  # the latest that is known of, with or without its content
+        self.detached = False
         self.staged: Delta | None = None
         self.pending: dict[int, PendingWatch] = {}
         self.fetches: dict[int, WholeFetch] = {}
@@ -62,9 +64,18 @@
         for delta in deltas:
             self.history.add(delta)
 
-    def publish(self, now: float, term: int, coordinator: int, staged: Delta | None) -> list[SendUpdate]:
+    def publish(
+        self,
+        now: float,
+        term: int,
+        coordinator: int,
+        active: VersionName,
+        staged: Delta | None,
+        detached: bool = False,
+    ) -> list[SendUpdate]:
         """Tell those that wait for it what has changed."""
-        self.term, self.coordinator = term, coordinator
+        self.term, self.coordinator, self.detached = term, coordinator, detached
+        self.active = max(active, self.document.name, key=lambda name: name.number)
         follows = staged is not None and staged.base == self.document.name
         self.staged = staged if follows else None
         return [
@@ -109,11 +120,11 @@
 
     def is_news(self, watch: Watch) -> bool:
         """Tell whether there is anything that the sender of a watch does not know."""
-        active = self.document.name
-        if watch.held.number < active.number or watch.term < self.term:
+        active = self.active
+        if watch.held.number < active.number or watch.term < self.term or self.detached:
             return True
-        if watch.held != active:
-            return watch.held.number == active.number  # another content under this number
+        if watch.held != self.document.name:
+            return watch.held.number == self.document.name.number  # another content under this number
         staged = self.staged.target.number if self.staged is not None else 0
         refused = watch.refusal.version if watch.refusal is not None else 0
         if staged:
@@ -139,24 +150,25 @@
             sequence=watch.sequence,
             term=self.term,
             coordinator=self.coordinator,
-            active=self.document.name,
+            active=self.active,
             staged=staged,
             changes=changes,
             grant=grant,
             retry_ms=retry_ms,
+            detached=self.detached,
         )
 
     def changes(self, watch: Watch) -> tuple[Delta, ...] | None:
         """Give the changes that the sender of a watch lacks; None where it needs the whole."""
-        active = self.document.name
-        if watch.held.number > active.number:
+        held_here = self.document.name
+        if watch.held.number > held_here.number:
             return ()
-        found = self.history.since(watch.held, active)
+        found = self.history.since(watch.held, held_here)
         if found is None:
             return None
         if self.staged is not None:
             found += (self.staged,)
-        if watch.held == active and watch.refusal is not None and found:
+        if watch.held == held_here and watch.refusal is not None and found:
             return tuple(delta for delta in found if delta.target.number not in (watch.prepared, watch.refusal.version))
         return tuple(delta for delta in found if delta.target.number != watch.prepared)
 
--- a/petrelhall/distribution/replica.py
+++ b/petrelhall/distribution/replica.py
@@ -129,6 +129,7 @@
         self.links = 0  # of earlier followers, so that no name of a connection is used twice
         self.staged: Delta | None = None
         self.seen_slot = -1
+        self.leased_at = now + timing.lease_ms  # when the consensus lease was last held; a start takes a while
         self.actions: list[ReplicaAction] = []
 
     def handle(self, now: float, event: ReplicaEvent) -> list[ReplicaAction]:
@@ -149,6 +150,7 @@
             self.coordinate(now, event)
         elif isinstance(event, Tick):
             self.coordinate(now, event)
+            self.look_at_lease(now)
         return self.actions
 
     def coordinate(self, now: float, event: CoordinatorEvent) -> None:
@@ -190,10 +192,24 @@
         self.publisher.applied(deltas)
         self.actions.append(PersistContent(deltas))
 
+    def look_at_lease(self, now: float) -> None:
+        """Tell those that watch where this replica has been without its consensus lease for long, or has one again."""
+        state = self.consensus.state()
+        if state is not None and now < state.lease_until:
+            self.leased_at = max(self.leased_at, now)
+        if self.publisher.detached != self.detached(now):
+            self.publish(now)
+
+    def detached(self, now: float) -> bool:
+        """Tell whether this replica has heard of no majority for long."""
+        return now - self.leased_at > self.timing.detached_ms
+
     def publish(self, now: float) -> None:
-        """Tell those that watch; what this replica has no content for is not told."""
+        """Tell those that watch what is active and staged, also where its content is missing here."""
         record = self.consensus.record
-        self.actions += self.publisher.publish(now, record.term, record.coordinator, self.staged)
+        self.actions += self.publisher.publish(
+            now, record.term, record.coordinator, record.active, self.staged, self.detached(now)
+        )
 
     def follow(self, now: float, event: ReplicaEvent) -> None:
         """Follow another replica while content is missing."""
--- a/petrelhall/distribution/timing.py
+++ b/petrelhall/distribution/timing.py
@@ -46,6 +46,11 @@
         """Give the time over which first reconnections are spread."""
         return self.lease_ms / 6.0
 
+    @property
+    def detached_ms(self) -> float:
+        """Give the time without word of a majority of replicas, after which who passes content on says so."""
+        return float(self.lease_ms)
+
     @property
     def granted_ms(self) -> float:
         """Give for how long a coordinator counts a lease, from granting it: longer than it lasts at the gateway."""
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -527,6 +527,18 @@
     assert alone.handle(Tick(), alone.now + 60_000) == []
 
 
+@pytest.mark.parametrize("fields", [{"active": VersionName(5, bytes(32))}, {"detached": True}])
+def test_a_source_that_is_behind_or_detached_is_left_for_the_next(fields: dict[str, Any]) -> None:
+    alone = LearnerAlone()
+    alone.connect()
+    alone.update(grant=alone.grant(), **fields)
+    assert alone.of(Disconnect) and not alone.of(SendWatch)
+    if "detached" in fields:
+        assert alone.learner.admits(alone.now) == EMPTY  # a lease is a lease
+    alone.connect()
+    assert alone.learner.distributor == 1
+
+
 def test_who_finds_no_slot_for_the_whole_comes_again_at_a_random_time() -> None:
     alone = LearnerAlone()
     alone.connect()
@@ -551,6 +563,7 @@
         delta = self.document.delta(number, f"c{number}", (Entry(f"k{number}", b"v"),), ())
         self.document.apply(delta)
         self.publisher.applied((delta,))
+        self.publisher.publish(0.0, self.publisher.term, 0, self.document.name, None)
         return delta
 
     def watch(self, connection: int, now: float = 0.0, **fields: Any) -> list[Update]:
@@ -589,17 +602,36 @@
     alone.watch(1)
     alone.watch(2, prepared=1)
     staged = alone.document.delta(1, "c", (Entry("a", b""),), ())
-    (sent,) = alone.publisher.publish(0.0, 0, 0, staged)
+    (sent,) = alone.publisher.publish(0.0, 0, 0, alone.document.name, staged)
     assert sent.connection == 1 and sent.update.changes == (staged,) and sent.update.staged == staged.target
     assert alone.watch(1, prepared=1) == []
     assert alone.watch(1, refusal=Refusal(1, "no")) == []
-    assert alone.publisher.publish(0.0, 0, 0, None)  # dropped, which is told
+    assert alone.publisher.publish(0.0, 0, 0, alone.document.name, None)  # dropped, which is told
+
+
+def test_who_knows_of_a_version_without_its_content_says_so() -> None:
+    alone = PublisherAlone()
+    alone.watch(1)
+    ahead = VersionName(7, bytes(32))
+    (sent,) = alone.publisher.publish(0.0, 0, 0, ahead, None)
+    assert sent.update.active == ahead and sent.update.changes == ()
+    assert alone.watch(1, held=ahead) == []  # nothing that it does not know
+
+
+def test_who_is_detached_says_so_at_once() -> None:
+    alone = PublisherAlone()
+    alone.watch(1)
+    (sent,) = alone.publisher.publish(0.0, 0, 0, alone.document.name, None, True)
+    assert sent.update.detached
+    assert [update.detached for update in alone.watch(1)] == [True]
+    alone.publisher.publish(0.0, 0, 0, alone.document.name, None)
+    assert alone.watch(1) == []
 
 
 def test_a_new_term_is_told() -> None:
     alone = PublisherAlone()
     alone.watch(1)
-    (sent,) = alone.publisher.publish(0.0, 3, 4, None)
+    (sent,) = alone.publisher.publish(0.0, 3, 4, alone.document.name, None)
     assert (sent.update.term, sent.update.coordinator) == (3, 4)
 
 
--- a/tests/test_distribution_faults.py
+++ b/tests/test_distribution_faults.py
@@ -239,6 +239,37 @@
     scene.assert_settled(8000.0)
 
 
+def test_replicas_that_lack_content_find_one_that_has_it() -> None:
+    scene = Scene(5, 3, 6, seed=61).start()
+    for number in (0, 1, 3):  # those that come back empty could follow each other for ever
+        scene.world.kill(("replica", number))
+        if number != 3:
+            scene.world.run(1000.0)
+            scene.submit(f"c{number}")
+            scene.world.run(3000.0)
+        scene.world.contents.pop(number)
+    for number in (0, 1, 3):
+        scene.world.start(("replica", number))
+    scene.submit("last")
+    scene.assert_settled(15_000.0)
+    for number in range(5):
+        assert scene.world.processes["replica", number].core.document.name.number == 3
+
+
+def test_a_replica_that_is_cut_off_from_the_others_loses_its_distributors() -> None:
+    scene = Scene(5, 3, 6, seed=62).start()
+    alone: Node = ("replica", 1)
+    scene.world.links.cut = lambda sender, receiver: (
+        alone in (sender, receiver) and sender[0] == receiver[0] == "replica"
+    )
+    scene.submit("c0")
+    took = scene.world.run_until(lambda: scene.world.in_force_everywhere("c0"), 15_000.0)
+    assert took is not None and took <= 6000.0, took  # the gateways behind it are there again
+    assert scene.change("c1", 5000.0) is not None
+    scene.world.links.cut = lambda sender, receiver: False
+    scene.assert_settled(8000.0)
+
+
 def test_without_a_majority_of_replicas_nothing_changes_and_leases_end() -> None:
     scene = Scene(5, 3, 6, seed=6).start()
     assert scene.change("c0", 5000.0) is not None
