--- a/petrelhall/cli/main.py
+++ b/petrelhall/cli/main.py
@@ -6,6 +6,7 @@
 
 from petrelhall.cli.capacity import capacity
 from petrelhall.cli.check import check
+from petrelhall.cli.config import config
 from petrelhall.cli.demo import demo
 from petrelhall.cli.drill import drill
 from petrelhall.cli.members import members
@@ -28,5 +29,5 @@
     """
 
 
-for command in (capacity, check, schema, demo, drill, members, policy, quota, shift, soak, standin):
+for command in (capacity, check, config, demo, drill, members, policy, quota, schema, shift, soak, standin):
     main.add_command(command)
