--- a/petrelhall/cli/main.py
+++ b/petrelhall/cli/main.py
@@ -10,6 +10,7 @@
 from petrelhall.cli.members import members
 from petrelhall.cli.policy import policy
 from petrelhall.cli.quota import quota
+from petrelhall.cli.scale import scale
 from petrelhall.cli.schema import schema
 from petrelhall.cli.shift import shift
 from petrelhall.cli.soak import soak
@@ -27,5 +28,5 @@
     """
 
 
-for command in (check, schema, demo, drill, members, policy, quota, shift, soak, standin):
+for command in (check, schema, demo, drill, members, policy, quota, scale, shift, soak, standin):
     main.add_command(command)
