--- a/petrelhall/standins/configurations.py
+++ b/petrelhall/standins/configurations.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -119,6 +120,7 @@
 
     version: int
     took_ms: float  # of the slowest gateway
+    since_proposed_ms: float  # the same from when it was first proposed; NaN where nobody proposed it
     gateways: int
     excused: int
     missing: tuple[int, ...]  # neither excused nor ever seen to serve it, or a later one
@@ -151,6 +153,14 @@
         """Give the times of the versions that all who could be reached served."""
         return sorted(entry.took_ms for entry in self.in_force if not entry.missing and entry.gateways)
 
+    def times_since_proposed(self) -> list[float]:
+        """Give the same from each change's first proposal."""
+        return sorted(
+            entry.since_proposed_ms
+            for entry in self.in_force
+            if not entry.missing and entry.gateways and not math.isnan(entry.since_proposed_ms)
+        )
+
 
 def quantile(ordered: list[float], share: float) -> float:
     """Give the smallest value that at least so large a share of the (ordered) values do not pass; NaN of none."""
@@ -159,6 +169,18 @@
     return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
 
 
+def content_digest(number: int, entries: Mapping[str, bytes]) -> str:
+    """Work out the digest of a version of the distributed configuration from its content, by the page of its design.
+
+    SHA-256 over the number and the sum, modulo 2**256, of each entry's SHA-256: of its key's length, key and value.
+    """
+    total = 0
+    for key, value in entries.items():
+        name = key.encode()
+        total += int.from_bytes(hashlib.sha256(len(name).to_bytes(4, "big") + name + value).digest(), "big")
+    return hashlib.sha256(number.to_bytes(8, "big") + (total % (1 << 256)).to_bytes(32, "big")).hexdigest()
+
+
 def judge(
     history: Iterable[Observation],
     gateways: int,
@@ -187,6 +209,7 @@
         self.verdict = Verdict()
         self.commits: dict[int, Committed] = {}  # the first of each version
         self.version_of: dict[str, int] = {}  # by change
+        self.proposed: dict[str, float] = {}  # by change: when it was first proposed
         self.first_admitted: dict[int, float] = {}  # by version
         self.latest = -1  # the latest version that was admitted under more than the slack ago
         self.fresh: list[tuple[float, int]] = []  # first admissions that are not older than the slack
@@ -202,6 +225,8 @@
         for observation in history:
             if isinstance(observation, Committed):
                 self.on_committed(observation)
+            elif isinstance(observation, Proposed):
+                self.proposed.setdefault(observation.change, observation.at_ms)
             elif isinstance(observation, Excused):
                 self.excuses[observation.gateway].append(observation)
         for observation in history:
@@ -315,7 +340,8 @@
             else:
                 counted += 1
                 slowest = max(slowest, at_ms - commit.at_ms)
-        return InForce(commit.version, slowest, counted, excused, tuple(missing))
+        waited = commit.at_ms - self.proposed.get(commit.change, math.nan)
+        return InForce(commit.version, slowest, waited + slowest, counted, excused, tuple(missing))
 
     def is_excused(self, gateway: int, from_ms: float, until_ms: float) -> bool:
         """Tell whether a fault kept a gateway from control at some time within these two."""
