--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -18,6 +18,7 @@
     Proposed,
     Refused,
     Verdict,
+    content_digest,
     judge,
     quantile,
 )
@@ -173,3 +174,20 @@
     gateway = data.draw(st.integers(0, gateways - 1))
     history.append(Admitted(1000.0 * later + 100.0 + delay, gateway, version, f"d{version}"))
     assert judge(history, gateways, END_MS, 5000.0).counts[Mistake.MIXED_VERSIONS] >= 1
+
+
+def test_the_digest_of_content_depends_on_number_keys_and_values_and_not_on_their_order() -> None:
+    known = content_digest(2, {"a": b"1", "b": b"2"})
+    assert known == content_digest(2, {"b": b"2", "a": b"1"})
+    others = [
+        content_digest(3, {"a": b"1", "b": b"2"}),
+        content_digest(2, {"a": b"1"}),
+        content_digest(2, {"a": b"2", "b": b"1"}),
+        content_digest(2, {"a1": b"", "b": b"2"}),
+    ]
+    assert known not in others and len(set(others)) == len(others)
+
+
+def test_times_since_the_proposal_count_from_the_first_time_that_a_change_was_submitted() -> None:
+    history = [*clean_history(), Proposed(1500.0, "change-1", "d1")]
+    assert found(history).times_since_proposed() == [112.0] * 3  # proposed 10 ms before the commit
