--- a/petrelhall/hollow/distribution_run.py
+++ b/petrelhall/hollow/distribution_run.py
@@ -191,7 +191,8 @@
         self.distributors = tuple(sockets.address for sockets in distributors)
         self.sockets = {"replica": replicas, "distributor": distributors}
         self.operator = Operator(self.network, self.replicas)
-        self.excuses: list[Excused] = []
+        self.excused: list[int] = []  # gateways that a fault keeps from control
+        self.fault_began = 0.0
         self.windows = Windows()
         self.began = shared_ms()
         self.started_ms: float | None = None
@@ -402,7 +403,7 @@
         until_ms = from_ms + 1000.0 * self.settings.fault_s
         for child in children:
             begin(child)
-        self.excuse([child for child in children if child.config.role == "gateways"], from_ms, until_ms)
+        self.excuse([child for child in children if child.config.role == "gateways"], from_ms)
         self.fault_ends = until_ms
         self.loop.after(until_ms - from_ms, partial(self.end_fault, children, end))
 
@@ -412,19 +413,26 @@
             end(child)
         self.watch_return()
 
-    def excuse(self, children: Iterable[Child], from_ms: float, until_ms: float) -> None:
-        """Excuse the gateways of some processes for a time, and until they can be back."""
+    def excuse(self, children: Iterable[Child], from_ms: float) -> None:
+        """Excuse the gateways of some processes from now until they are back."""
+        self.fault_began = from_ms
         for child in children:
             config = child.config
-            for number in range(config.number, config.number + config.gateways * config.step, config.step):
-                self.excuses.append(Excused(from_ms, until_ms + RETURN_MS, number))
+            self.excused.extend(range(config.number, config.number + config.gateways * config.step, config.step))
+
+    def excuses(self) -> list[Excused]:
+        """Give who is excused, until all were seen to be back, or should have been."""
+        if self.fault_ends is None:
+            return []
+        back_ms = min(RETURN_MS, self.returned_ms if self.returned_ms is not None else RETURN_MS)
+        return [Excused(self.fault_began, self.fault_ends + back_ms, number) for number in self.excused]
 
     def restart_gateways(self) -> None:
         """Kill all gateways, and start as many at once."""
         found, at_ms = self.gateways(), shared_ms()
         for child in found:
             self.kill(child)
-        self.excuse(found, at_ms, at_ms)
+        self.excuse(found, at_ms)
         self.start_gateways()
         self.fault_ends = at_ms
         self.watch_return()
@@ -444,7 +452,7 @@
 
     def report(self) -> DistributionReport:
         """Read what all processes wrote, and work the figures out."""
-        history: list[Observation] = [*self.operator.history, *self.excuses]
+        history: list[Observation] = [*self.operator.history, *self.excuses()]
         used: dict[str, list[Used]] = {}
         notes: dict[str, int] = {}
         counts: dict[str, int] = {}
