Scale tests run the shells in service: gateway.learning and the replica package, watched

The hollow run had shells of its own, since those of the mechanism were not there yet. It runs gateway/learning.py and the replica package now, which are watched by thin subclasses, and a network under their frames counts, delays and cuts what crosses a region's border.

--- a/petrelhall/hollow/distribution_run.py
+++ b/petrelhall/hollow/distribution_run.py
@@ -15,11 +15,13 @@
 from enum import Enum
 from functools import partial
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 
 from petrelhall.configuration.versions import Entry
-from petrelhall.hollow.network import OPERATOR_HOST, Network, region_host
+from petrelhall.gateway.learning import SHARED_ENTRY
+from petrelhall.hollow.network import region_host
 from petrelhall.hollow.operators import Operator
 from petrelhall.hollow.process import ProcessConfig
 from petrelhall.hollow.recorder import Batch, Used, read_batches, shared_ms
@@ -27,6 +29,8 @@
 from petrelhall.net.log import Log
 from petrelhall.net.loop import Loop, now_ms
 from petrelhall.net.stream import Address
+from petrelhall.operator.settings import Limits, Shared
+from petrelhall.operator.shared import encode
 from petrelhall.standins.configurations import Admitted, Excused, Observation, Verdict, judge, quantile
 
 REGIONS = 5  # with one replica and one distributor each
@@ -41,6 +45,7 @@
 GRACE_MS = 10_000.0
 SILENT_SHARE = 0.1
 CHECK_MS = 20.0
+Role = Literal["replica", "distributor", "gateways"]
 
 
 class Fault(Enum):
@@ -141,29 +146,20 @@
     unread: bytes = b""
 
 
-@dataclass
-class Sockets:
-    """What a control process listens on, bound here so that all can start at once."""
-
-    address: Address
-    listener: socket.socket
-    datagrams: socket.socket | None = None
-
-
-def bind_pair(host: str) -> Sockets:
-    """Bind a TCP and a UDP socket to one port that nobody has."""
+def reserve_port(host: str) -> socket.socket:
+    """Find a port for TCP and UDP that nobody has, and keep others from it; who is meant to can share it."""
     while True:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.bind((host, 0))
-        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            datagrams.bind(listener.getsockname())
-        except OSError:
-            listener.close()
-            datagrams.close()
-            continue
-        listener.listen(1024)
-        return Sockets(listener.getsockname(), listener, datagrams)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.bind((host, 0))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+            try:
+                datagrams.bind(sock.getsockname())
+            except OSError:
+                sock.close()
+                continue
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        return sock
 
 
 @dataclass
@@ -181,16 +177,13 @@
         check_descriptors(2 * settings.gateways)  # a distributor may come to hold all of its own and another's
         self.settings, self.folder = settings, folder
         self.loop = Loop(Log("hollow run"))
-        self.network = Network(self.loop, OPERATOR_HOST, 0.0)
         self.lateness = Lateness(self.loop)
         self.children: list[Child] = []
         self.files: list[tuple[ProcessConfig, Path]] = []
-        replicas = [bind_pair(region_host(region)) for region in range(REGIONS)]
-        distributors = [bind_pair(region_host(region)) for region in range(REGIONS)]
-        self.replicas = tuple(sockets.address for sockets in replicas)
-        self.distributors = tuple(sockets.address for sockets in distributors)
-        self.sockets = {"replica": replicas, "distributor": distributors}
-        self.operator = Operator(self.network, self.replicas)
+        self.reserved = [reserve_port(region_host(place % REGIONS)) for place in range(2 * REGIONS)]
+        addresses: list[Address] = [sock.getsockname() for sock in self.reserved]
+        self.replicas, self.distributors = tuple(addresses[:REGIONS]), tuple(addresses[REGIONS:])
+        self.operator = Operator(self.loop, self.replicas)
         self.excused: list[int] = []  # gateways that a fault keeps from control
         self.fault_began = 0.0
         self.windows = Windows()
@@ -202,14 +195,12 @@
 
     # Processes
 
-    def spawn(self, config: ProcessConfig, sockets: Sockets | None = None) -> Child:
+    def spawn(self, config: ProcessConfig) -> Child:
         """Start a process."""
-        keep = [sock.fileno() for sock in (sockets.listener, sockets.datagrams) if sock] if sockets else []
         popen = subprocess.Popen(
             [sys.executable, "-m", "petrelhall.hollow.process", msgspec.json.encode(config).decode()],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
-            pass_fds=keep,
             bufsize=0,
         )
         child = Child(config, popen)
@@ -219,9 +210,8 @@
         self.loop.register(popen.stdout.fileno(), select.EPOLLIN, lambda mask: self.on_status(child))
         return child
 
-    def config(self, role: str, number: int, region: int, **others: object) -> ProcessConfig:
+    def config(self, role: Role, number: int, region: int, **others: object) -> ProcessConfig:
         """Describe a process."""
-        distributors = self.distributors[region:] + self.distributors[:region]
         known = ProcessConfig(
             role=role,
             number=number,
@@ -229,22 +219,17 @@
             file=os.path.join(self.folder, f"{role}-{number}-{len(self.files)}"),
             seed=self.settings.seed * 1000 + len(self.files),
             delay_ms=self.settings.delay_ms,
-            replicas=self.replicas,
-            distributors=distributors,
+            replicas=tuple(f"{host}:{port}" for host, port in self.replicas),
+            distributors=tuple(f"{host}:{port}" for host, port in self.distributors),
             folder=self.folder,
         )
         return msgspec.structs.replace(known, **others)
 
     def start_control(self) -> None:
         """Start all replicas and distributors."""
-        for role, found in self.sockets.items():
-            for number, sockets in enumerate(found):
-                datagrams = sockets.datagrams.fileno() if sockets.datagrams is not None else -1
-                config = self.config(role, number, number, listener=sockets.listener.fileno(), datagrams=datagrams)
-                self.spawn(config, sockets)
-                sockets.listener.close()
-                if sockets.datagrams is not None:
-                    sockets.datagrams.close()
+        for region in range(REGIONS):
+            self.spawn(self.config("replica", region, region))
+            self.spawn(self.config("distributor", region, region))
 
     def start_gateways(self) -> None:
         """Start all gateways: those of a region in one process, or with its silent tenth in another."""
@@ -303,6 +288,8 @@
             for pipe in (child.popen.stdin, child.popen.stdout):
                 if pipe is not None:
                     pipe.close()
+        for sock in self.reserved:
+            sock.close()
 
     # Time
 
@@ -329,7 +316,7 @@
         settings = self.settings
         self.start_control()
         self.start_gateways()
-        self.submit("first", settings.entries)
+        self.submit("first", settings.entries - 1)
         if not self.run_until(lambda: self.everyone_admits(1), START_S):
             return
         self.started_ms = shared_ms() - self.began
@@ -346,10 +333,12 @@
         self.run_until(self.everyone_admits, LAST_S)
 
     def submit(self, name: str, entries: int) -> None:
-        """Submit a change of so many entries."""
-        value = name.encode().ljust(self.settings.value_bytes, b".")
-        self.operator.submit(name, tuple(Entry(f"entry-{number}", value) for number in range(entries)))
+        """Submit a change of the shared part that gateways serve by, with so many other entries."""
         self.submitted += 1
+        shared = encode(Shared(plans={"measured": Limits(rate=1000.0, burst=1000.0 + self.submitted)}))
+        padding = b"." * self.settings.value_bytes
+        others = [Entry(f"entry-{number}", padding) for number in range(entries)]
+        self.operator.submit(name, (Entry(SHARED_ENTRY, shared), *others))
 
     def make_changes(self) -> None:
         """Submit changes of one entry at their pace, whatever becomes of those before."""
@@ -359,7 +348,7 @@
         while next_at < until:
             self.run_until(lambda due=next_at: now_ms() >= due, 10.0 + pace_ms / 1000.0)  # type: ignore[misc]
             number += 1
-            self.submit(f"change-{number}", 1)
+            self.submit(f"change-{number}", 0)
             next_at += pace_ms
 
     # Faults
@@ -372,7 +361,7 @@
         """Have the fault of this run begin."""
         fault = self.settings.fault
         if fault is Fault.REPLICA:
-            self.submit("mid-change", 1)
+            self.submit("mid-change", 0)
             self.loop.after(MID_CHANGE_MS, self.kill_coordinator)
         elif fault is Fault.DISTRIBUTOR:
             self.kill(self.control("distributor", 1))
@@ -417,8 +406,7 @@
         """Excuse the gateways of some processes from now until they are back."""
         self.fault_began = from_ms
         for child in children:
-            config = child.config
-            self.excused.extend(range(config.number, config.number + config.gateways * config.step, config.step))
+            self.excused.extend(child.config.numbers)
 
     def excuses(self) -> list[Excused]:
         """Give who is excused, until all were seen to be back, or should have been."""
--- a/petrelhall/hollow/operators.py
+++ b/petrelhall/hollow/operators.py
@@ -6,9 +6,9 @@
 
 from petrelhall.configuration.versions import Entry
 from petrelhall.distribution.messages import MessageError, Outcome, Submit, decode, encode
-from petrelhall.hollow.network import FrameConnection, Network, connect
 from petrelhall.hollow.recorder import shared_ms
-from petrelhall.net.loop import now_ms
+from petrelhall.net.frames import FrameConnection, connect
+from petrelhall.net.loop import Loop, now_ms
 from petrelhall.net.stream import Address
 from petrelhall.standins.configurations import Acknowledged, Observation, Proposed
 
@@ -37,15 +37,15 @@
 class Operator:
     """Submits changes."""
 
-    def __init__(self, network: Network, replicas: tuple[Address, ...]) -> None:
-        self.network, self.replicas = network, replicas
+    def __init__(self, loop: Loop, replicas: tuple[Address, ...]) -> None:
+        self.loop, self.replicas = loop, replicas
         self.connections: dict[int, FrameConnection] = {}
         self.coordinator = 0
         self.pending: dict[str, PendingChange] = {}
         self.ended = Ended()
         self.history: list[Observation] = []
         self.repeats = 0
-        network.loop.after(LOOK_MS, self.look)
+        loop.after(LOOK_MS, self.look)
 
     def submit(self, change: str, put: tuple[Entry, ...]) -> None:
         """Submit a change."""
@@ -58,26 +58,22 @@
         """Send a change to the replica that is thought to coordinate."""
         connection = self.connections.get(self.coordinator)
         if connection is None:
-            connection = self.connect(self.coordinator)
-        if connection is not None:
-            connection.send(encode(submit))
-
-    def connect(self, replica: int) -> FrameConnection | None:
-        """Connect to a replica; None where that fails at once."""
-
-        def closed(connection: FrameConnection) -> None:
-            if self.connections.get(replica) is connection:
-                del self.connections[replica]
-
-        def frame(connection: FrameConnection, content: bytes) -> None:
-            self.on_frame(replica, content)
-
-        try:
-            connection = connect(self.network, self.replicas[replica], frame, lambda connection: None, closed)
-        except OSError:
-            return None
-        self.connections[replica] = connection
-        return connection
+            connection = self.connections[self.coordinator] = self.connect(self.coordinator)
+        connection.send(encode(submit))
+
+    def connect(self, replica: int) -> FrameConnection:
+        """Connect to a replica."""
+        return connect(
+            self.loop,
+            self.replicas[replica],
+            lambda content: self.on_frame(replica, content),
+            lambda: self.closed(replica),
+            lambda: None,
+        )
+
+    def closed(self, replica: int) -> None:
+        """Forget a connection."""
+        self.connections.pop(replica, None)
 
     def on_frame(self, replica: int, content: bytes) -> None:
         """Take an answer in."""
@@ -105,7 +101,7 @@
 
     def look(self) -> None:
         """Send again what has not ended, and try the next replica where one does not answer."""
-        self.network.loop.after(LOOK_MS, self.look)
+        self.loop.after(LOOK_MS, self.look)
         now = now_ms()
         due = [pending for pending in self.pending.values() if now - pending.sent_at >= REPEAT_MS]
         if any(pending.unanswered >= MOST_UNANSWERED for pending in due):
--- a/petrelhall/hollow/process.py
+++ b/petrelhall/hollow/process.py
@@ -9,39 +9,44 @@
 import gc
 import os
 import select
-import socket
 import sys
+from typing import Literal
 
 import msgspec
 
-from petrelhall.distribution.timing import Timing
-from petrelhall.hollow.control import DistributorShell, ReplicaShell
-from petrelhall.hollow.learners import SAMPLE_MS, LearnerShell
-from petrelhall.hollow.network import Network
+from petrelhall.hollow.control import WatchedReplica
+from petrelhall.hollow.learners import SAMPLE_MS, HollowLearner
+from petrelhall.hollow.network import Network, install
 from petrelhall.hollow.recorder import Recorder
+from petrelhall.net.counts import Counts
 from petrelhall.net.log import Log
 from petrelhall.net.loop import Loop
-from petrelhall.net.stream import Address
+from petrelhall.replica.distributor import DistributorProcess
+from petrelhall.replica.settings import ControlFile
 
 STATUS_MS = 100.0
+GARBAGE = 20000  # objects made and not freed between two looks for cycles, as the gateway's program has it
 
 
 class ProcessConfig(msgspec.Struct, frozen=True):
-    """What a process is to be; descriptors are of sockets that its parent has bound."""
+    """What a process is to be; addresses are HOST:PORT."""
 
-    role: str  # "replica", "distributor" or "gateways"
+    role: Literal["replica", "distributor", "gateways"]
     number: int  # of the replica or distributor, or of the first gateway
     host: str  # the address of its region
     file: str  # where it writes what it saw
     seed: int
     delay_ms: float
-    replicas: tuple[Address, ...]
-    distributors: tuple[Address, ...]  # for gateways: the preferred first
+    replicas: tuple[str, ...]
+    distributors: tuple[str, ...]
     gateways: int = 0
     step: int = 1  # between the numbers of its gateways
-    listener: int = -1
-    datagrams: int = -1
-    folder: str = ""
+    folder: str = ""  # of a replica
+
+    @property
+    def numbers(self) -> range:
+        """Give the numbers of its gateways."""
+        return range(self.number, self.number + self.gateways * self.step, self.step)
 
 
 class Process:
@@ -51,66 +56,46 @@
         self.config = config
         self.loop = Loop(Log(f"hollow {config.role} {config.number}"))
         self.network = Network(self.loop, config.host, config.delay_ms)
+        install(self.network)
         self.recorder = Recorder(self.loop, config.file, self.network.traffic)
-        self.parts = self.start()
+        self.learners: list[HollowLearner] = []
+        self.control: WatchedReplica | DistributorProcess | None = None
+        if config.role == "gateways":
+            self.start_gateways()
+        else:
+            self.control = self.start_control()
         self.told = ""
         self.loop.register(sys.stdin.fileno(), select.EPOLLIN, self.on_command)
-        if config.role == "gateways":
-            self.loop.after(SAMPLE_MS, self.sample)
-            self.loop.after(STATUS_MS, self.tell_status)
 
-    def start(self) -> list[LearnerShell | ReplicaShell | DistributorShell]:
-        """Start the parts of this process."""
-        config, timing = self.config, Timing()
+    def start_control(self) -> WatchedReplica | DistributorProcess:
+        """Start a replica or a distributor."""
+        config = self.config
         if config.role == "replica":
-            return [
-                ReplicaShell(
-                    self.network,
-                    self.recorder,
-                    config.number,
-                    timing,
-                    config.replicas,
-                    socket.socket(fileno=config.listener),
-                    socket.socket(fileno=config.datagrams),
-                    config.folder,
-                    config.seed,
-                )
-            ]
-        if config.role == "distributor":
-            listener = socket.socket(fileno=config.listener)
-            return [
-                DistributorShell(
-                    self.network, self.recorder, config.number, timing, config.replicas, listener, config.seed
-                )
-            ]
-        incarnation = int.from_bytes(os.urandom(4), "big") >> 1 | 1
+            file = ControlFile("replica", config.number, config.replicas, folder=config.folder)
+            return WatchedReplica(self.loop, file, self.network, self.recorder, config.seed)
+        listen = config.distributors[config.number]
+        file = ControlFile("distributor", config.number, config.replicas, listen=listen)
+        return DistributorProcess(self.loop, file, Counts(), self.recorder.note, config.seed)
+
+    def start_gateways(self) -> None:
+        """Start gateways."""
         self.recorder.flush()  # what the process takes without a gateway
-        return [
-            LearnerShell(
-                self.network,
-                self.recorder,
-                number,
-                incarnation,
-                timing,
-                config.distributors,
-                config.seed * 1_000_003 + number,
-            )
-            for number in range(config.number, config.number + config.gateways * config.step, config.step)
+        self.learners = [
+            HollowLearner(self.loop, self.recorder, number, self.config.distributors) for number in self.config.numbers
         ]
+        self.loop.after(SAMPLE_MS, self.sample)
+        self.loop.after(STATUS_MS, self.tell_status)
 
     def sample(self) -> None:
         """Have every gateway decide on a request."""
         self.loop.after(SAMPLE_MS, self.sample)
-        for part in self.parts:
-            if isinstance(part, LearnerShell):
-                part.observe()
+        for learner in self.learners:
+            learner.observe()
 
     def tell_status(self) -> None:
         """Tell how many gateways admit and from which version on, where that is news."""
         self.loop.after(STATUS_MS, self.tell_status)
-        versions = [
-            part.serving.number for part in self.parts if isinstance(part, LearnerShell) and part.serving is not None
-        ]
+        versions = [learner.serving.number for learner in self.learners if learner.serving is not None]
         told = f"{len(versions)} {min(versions, default=-1)}\n"
         if told != self.told:
             self.told = told
@@ -122,21 +107,17 @@
             if command in ("cut", "heal"):
                 self.network.cut = command == "cut"
             elif command == "stop":
-                for part in self.parts:
-                    part.finish()
+                for learner in self.learners:
+                    learner.finish()
                 self.recorder.flush()
                 self.loop.stop()
 
-    def run(self) -> None:
-        """Work until told to stop."""
-        self.loop.run()
-
 
 def main() -> None:
     """Run the process that the first argument describes."""
     config: ProcessConfig = msgspec.json.decode(sys.argv[1], type=ProcessConfig)
-    gc.set_threshold(20000)  # as the gateway's program has it
-    Process(config).run()
+    gc.set_threshold(GARBAGE)
+    Process(config).loop.run()
 
 
 if __name__ == "__main__":
