--- a/petrelhall/hollow/distribution_run.py
+++ b/petrelhall/hollow/distribution_run.py
@@ -36,6 +36,7 @@
 REGIONS = 5  # with one replica and one distributor each
 START_S = 60.0  # at most, until all gateways admit under the first version
 LAST_S = 15.0  # at most, until the last change is in force everywhere
+PROBE_S = 1.0  # at most, for one look whether a process takes connections
 SETTLE_S = 1.0  # at rest, before what is used at rest is measured
 FAULT_AT_S = 5.0  # after the first change
 MID_CHANGE_MS = 30.0  # after a change was submitted, at which its coordinator is killed
@@ -162,6 +163,15 @@
         return sock
 
 
+def listens(address: Address) -> bool:
+    """Tell whether somebody takes connections at an address."""
+    try:
+        socket.create_connection(address, timeout=PROBE_S).close()
+    except OSError:
+        return False
+    return True
+
+
 @dataclass
 class Windows:
     """Stretches of time, by the shared clock."""
@@ -231,6 +241,10 @@
             self.spawn(self.config("replica", region, region))
             self.spawn(self.config("distributor", region, region))
 
+    def control_listens(self) -> bool:
+        """Tell whether all control processes take connections: who finds its own missing stays with another."""
+        return all(listens(address) for address in (*self.replicas, *self.distributors))
+
     def start_gateways(self) -> None:
         """Start all gateways: those of a region in one process, or with its silent tenth in another."""
         for region in range(REGIONS):
@@ -315,6 +329,8 @@
         """Start all, rest, make changes with the fault among them, and wait for the last."""
         settings = self.settings
         self.start_control()
+        if not self.run_until(self.control_listens, START_S):
+            return
         self.start_gateways()
         self.submit("first", settings.entries - 1)
         if not self.run_until(lambda: self.everyone_admits(1), START_S):
