Connections that gateways begin are counted in a run of the distribution

In trials at 2,100 gateways on the shared machine changes stayed slow after a distributor was killed and after all gateways had started at once, as if connections were given up again and again. The number of connections begun tells whether gateways leave distributors that answer late.

--- a/petrelhall/hollow/distribution_run.py
+++ b/petrelhall/hollow/distribution_run.py
@@ -123,6 +123,7 @@
     gateway: Part
     replicas: tuple[Part, ...]
     distributors: tuple[Part, ...]
+    connections_begun: int  # by gateways, all told; each needs one
     operator_late_ms: float  # the parent's loop, 99th: what the machine adds
     observations: int
     mistakes: dict[str, int]
@@ -509,6 +510,9 @@
             gateway=self.average(gateways, used),
             replicas=tuple(part for name, part in parts.items() if name.startswith("replica")),
             distributors=tuple(part for name, part in parts.items() if name.startswith("distributor")),
+            connections_begun=sum(
+                samples[-1].connections for name, samples in used.items() if name.startswith("gateways")
+            ),
             operator_late_ms=quantile(late, 0.99),
             observations=verdict.observations,
             mistakes={mistake.value: count for mistake, count in verdict.counts.items()},
--- a/petrelhall/hollow/network.py
+++ b/petrelhall/hollow/network.py
@@ -34,6 +34,7 @@
     bytes_in: int = 0
     bytes_out: int = 0
     dropped: int = 0  # by a cut
+    connections: int = 0  # begun by this process
 
 
 class Network:
@@ -119,6 +120,7 @@
 
 def connect_from(network: Network, loop: Loop, address: Address, notify: Callable[[], object]) -> Stream | OSError:
     """Begin to connect, as ``net.stream.connect`` does, from the address of this process's region."""
+    network.traffic.connections += 1
     connection = getattr(notify, "__self__", None)
     if isinstance(connection, NetworkConnection):
         connection.peer_host = address[0]
--- a/petrelhall/hollow/recorder.py
+++ b/petrelhall/hollow/recorder.py
@@ -53,6 +53,7 @@
     messages_out: int
     bytes_in: int
     bytes_out: int
+    connections: int  # begun
 
 
 class Batch(msgspec.Struct, frozen=True, array_like=True):
@@ -97,6 +98,7 @@
             traffic.messages_out,
             traffic.bytes_in,
             traffic.bytes_out,
+            traffic.connections,
         )
 
     def flush_again(self) -> None:
