Each process of a run has figures of its own, also one in the place of a killed one

Processes of gateways that are started again after a kill had the name of those before, so that differences of their counters were taken over both. Each has a name of its own now, and connections of both are counted.

--- a/petrelhall/hollow/distribution_run.py
+++ b/petrelhall/hollow/distribution_run.py
@@ -461,8 +461,10 @@
         used: dict[str, list[Used]] = {}
         notes: dict[str, int] = {}
         counts: dict[str, int] = {}
-        for config, path in self.files:
+        for place, (config, path) in enumerate(self.files):
             name = f"{config.role} {config.number}"
+            if name in used:  # another process in the place of one that was killed
+                name += f" ({place})"
             counts[name] = config.gateways
             for batch in read_batches(path):
                 self.take_batch(batch, history, used.setdefault(name, []), notes)
