--- a/petrelhall/hollow/distribution_run.py
+++ b/petrelhall/hollow/distribution_run.py
@@ -25,7 +25,7 @@
 from petrelhall.hollow.operators import Operator
 from petrelhall.hollow.process import ProcessConfig
 from petrelhall.hollow.recorder import Batch, Used, read_batches, shared_ms
-from petrelhall.hollow.usage import MIB, Lateness, check_descriptors
+from petrelhall.hollow.usage import MIB, Lateness, MachineTime, check_descriptors, machine_time
 from petrelhall.net.log import Log
 from petrelhall.net.loop import Loop, now_ms
 from petrelhall.net.stream import Address
@@ -45,6 +45,7 @@
 )
 GRACE_MS = 10_000.0
 SILENT_SHARE = 0.1
+MOST_OF_A_PROCESS = 140  # gateways: of more, one's answer waits for so many others' that its watch counts as lost
 CHECK_MS = 20.0
 Role = Literal["replica", "distributor", "gateways"]
 
@@ -124,6 +125,8 @@
     replicas: tuple[Part, ...]
     distributors: tuple[Part, ...]
     connections_begun: int  # by gateways, all told; each needs one
+    machine_busy: float  # share of all processors while changes were made, whoever used them
+    machine_stolen: float  # share that the machine's own host took away
     operator_late_ms: float  # the parent's loop, 99th: what the machine adds
     observations: int
     mistakes: dict[str, int]
@@ -146,6 +149,7 @@
     admitting: int = 0
     version: int = -1
     unread: bytes = b""
+    silent: bool = False  # whether its gateways are those that fall silent
 
 
 def reserve_port(host: str) -> socket.socket:
@@ -179,6 +183,7 @@
 
     rest: tuple[float, float] = (0.0, 0.0)
     changes: tuple[float, float] = (0.0, 0.0)
+    machine: tuple[MachineTime, MachineTime] | None = None  # at the begin and end of changes
 
 
 class DistributionRun:
@@ -247,13 +252,20 @@
         return all(listens(address) for address in (*self.replicas, *self.distributors))
 
     def start_gateways(self) -> None:
-        """Start all gateways: those of a region in one process, or with its silent tenth in another."""
+        """Start all gateways; those of a region that fall silent are in processes of their own."""
         for region in range(REGIONS):
             numbers = range(region, self.settings.gateways, REGIONS)
             silent = round(SILENT_SHARE * len(numbers)) if self.settings.fault is Fault.SILENT else 0
-            for part in (numbers[: len(numbers) - silent], numbers[len(numbers) - silent :]):
-                if part:
-                    self.spawn(self.config("gateways", part[0], region, gateways=len(part), step=REGIONS))
+            self.spawn_gateways(region, numbers[: len(numbers) - silent], silent=False)
+            self.spawn_gateways(region, numbers[len(numbers) - silent :], silent=True)
+
+    def spawn_gateways(self, region: int, numbers: range, silent: bool) -> None:
+        """Start some gateways of a region, so many a process that none of its turns is long."""
+        processes = -(-len(numbers) // MOST_OF_A_PROCESS)
+        for place in range(processes):
+            own = numbers[place::processes]
+            child = self.spawn(self.config("gateways", own[0], region, gateways=len(own), step=own.step))
+            child.silent = silent
 
     def on_status(self, child: Child) -> None:
         """Take in how many of a process's gateways admit."""
@@ -341,10 +353,10 @@
         rest_began = shared_ms()
         self.pass_time(settings.rest_s)
         self.windows.rest = rest_began, shared_ms()
-        changes_began = shared_ms()
+        changes_began, machine_began = shared_ms(), machine_time()
         self.loop.after(1000.0 * FAULT_AT_S, self.begin_fault)
         self.make_changes()
-        self.windows.changes = changes_began, shared_ms()
+        self.windows.changes, self.windows.machine = (changes_began, shared_ms()), (machine_began, machine_time())
         self.run_until(lambda: not self.operator.pending and self.fault_is_over(), LAST_S)
         self.pass_time(1.0)
         self.run_until(self.everyone_admits, LAST_S)
@@ -383,7 +395,7 @@
         elif fault is Fault.DISTRIBUTOR:
             self.kill(self.control("distributor", 1))
         elif fault is Fault.SILENT:
-            silent = [child for child in self.gateways() if self.is_silent_part(child)]
+            silent = [child for child in self.gateways() if child.silent]
             self.for_a_while(silent, lambda child: child.popen.send_signal(signal.SIGSTOP), _go_on)
         elif fault is Fault.REGION:
             region = [child for child in self.children if child.config.host == region_host(self.operator.coordinator)]
@@ -391,10 +403,6 @@
         elif fault is Fault.START:
             self.restart_gateways()
 
-    def is_silent_part(self, child: Child) -> bool:
-        """Tell whether a process holds the tenth of its region's gateways that falls silent."""
-        return child.config.number >= REGIONS
-
     def control(self, role: str, number: int) -> Child:
         """Give a control process."""
         return next(child for child in self.children if child.config.role == role and child.config.number == number)
@@ -493,6 +501,7 @@
         gateways = [(counts[name], part) for name, part in parts.items() if name.startswith("gateways")]
         ended = self.operator.ended
         late = sorted(self.lateness.seen)
+        busy, stolen = self.machine_shares()
         changes = [entry for entry in verdict.in_force if entry.version > 1]  # the first waits for the start
         complete = [entry for entry in changes if not entry.missing and entry.gateways]
         return DistributionReport(
@@ -515,6 +524,8 @@
             connections_begun=sum(
                 samples[-1].connections for name, samples in used.items() if name.startswith("gateways")
             ),
+            machine_busy=busy,
+            machine_stolen=stolen,
             operator_late_ms=quantile(late, 0.99),
             observations=verdict.observations,
             mistakes={mistake.value: count for mistake, count in verdict.counts.items()},
@@ -524,6 +535,15 @@
             notes=dict(sorted(notes.items(), key=lambda entry: -entry[1])[:12]),
         )
 
+    def machine_shares(self) -> tuple[float, float]:
+        """Give which shares of all processors were busy, and were taken away, while changes were made."""
+        if self.windows.machine is None:
+            return 0.0, 0.0
+        began, ended = self.windows.machine
+        total = max(1, ended.total - began.total)
+        stolen = (ended.stolen - began.stolen) / total
+        return 1.0 - (ended.idle - began.idle) / total - stolen, stolen
+
     def part(self, name: str, samples: list[Used]) -> Part:
         """Give what a process took."""
         return Part(
--- a/petrelhall/hollow/usage.py
+++ b/petrelhall/hollow/usage.py
@@ -5,6 +5,7 @@
 import resource
 import time
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from petrelhall.net.loop import Loop, now_ms
 
@@ -43,6 +44,23 @@
     return dropped
 
 
+@dataclass(frozen=True, slots=True)
+class MachineTime:
+    """What all processors of the machine did since it started, in ticks."""
+
+    total: int
+    idle: int  # also for a disk
+    stolen: int  # by the machine's own host
+
+
+def machine_time() -> MachineTime:
+    """Read what all processors did."""
+    with open("/proc/stat") as file:
+        user, nice, system, idle, wait, interrupts, soft, stolen = map(int, file.readline().split()[1:9])
+    total = user + nice + system + idle + wait + interrupts + soft + stolen
+    return MachineTime(total, idle + wait, stolen)
+
+
 class Lateness:
     """How late the loop makes its calls: what the machine, and not the programs under test, adds to every time."""
 
