--- a/petrelhall/cli/main.py
+++ b/petrelhall/cli/main.py
@@ -12,6 +12,7 @@
 from petrelhall.cli.members import members
 from petrelhall.cli.policy import policy
 from petrelhall.cli.quota import quota
+from petrelhall.cli.scale import scale
 from petrelhall.cli.schema import schema
 from petrelhall.cli.shift import shift
 from petrelhall.cli.soak import soak
@@ -29,5 +30,5 @@
     """
 
 
-for command in (capacity, check, config, demo, drill, members, policy, quota, schema, shift, soak, standin):
+for command in (capacity, check, config, demo, drill, members, policy, quota, scale, schema, shift, soak, standin):
     main.add_command(command)
