--- a/petrelhall/cli/main.py
+++ b/petrelhall/cli/main.py
@@ -4,12 +4,15 @@
 
 import click
 
+from petrelhall.cli.capacity import capacity
 from petrelhall.cli.check import check
+from petrelhall.cli.config import config
 from petrelhall.cli.demo import demo
 from petrelhall.cli.drill import drill
 from petrelhall.cli.members import members
 from petrelhall.cli.policy import policy
 from petrelhall.cli.quota import quota
+from petrelhall.cli.scale import scale
 from petrelhall.cli.schema import schema
 from petrelhall.cli.shift import shift
 from petrelhall.cli.soak import soak
@@ -27,5 +30,5 @@
     """
 
 
-for command in (check, schema, demo, drill, members, policy, quota, shift, soak, standin):
+for command in (capacity, check, config, demo, drill, members, policy, quota, scale, schema, shift, soak, standin):
     main.add_command(command)
