--- a/petrelhall/configuration/deltas.py
+++ b/petrelhall/configuration/deltas.py
@@ -22,6 +22,11 @@
     put: tuple[Entry, ...]
     removed: tuple[str, ...]
 
+    @property
+    def size(self) -> int:
+        """Give about how many bytes it takes."""
+        return sum(len(entry.key) + len(entry.value) for entry in self.put) + sum(map(len, self.removed))
+
 
 class SnapshotPart(Struct, frozen=True, array_like=True):
     """One part of a whole version; its digest is checked once all parts are there."""
--- a/petrelhall/configuration/document.py
+++ b/petrelhall/configuration/document.py
@@ -8,6 +8,8 @@
 from petrelhall.configuration.errors import DigestMismatchError, GapError, UnknownEntryError
 from petrelhall.configuration.versions import EMPTY, MODULUS, Entry, VersionName, entry_hash, version_name
 
+MOST_PART_BYTES = 512 * 1024
+
 
 class Document:
     """The entries of the version that is held; a change is checked before anything is altered."""
@@ -86,19 +88,29 @@
 
 
 class Snapshot:
-    """A whole version as it was at one moment, cut into parts."""
+    """A whole version as it was at one moment, cut into parts of at most so many entries and, but for one, bytes."""
 
-    def __init__(self, document: Document, part_entries: int) -> None:
-        self.version, self.part_entries = document.name, part_entries
+    def __init__(self, document: Document, part_entries: int, part_bytes: int = MOST_PART_BYTES) -> None:
+        self.version = document.name
         self.items = list(document.entries.items())
+        self.starts = [0]
+        size = 0
+        for place, (key, value) in enumerate(self.items):
+            size += len(key) + len(value)
+            first = self.starts[-1]
+            if place > first and (place - first >= part_entries or size > part_bytes):
+                self.starts.append(place)
+                size = len(key) + len(value)
 
     @property
     def parts(self) -> int:
         """Give the number of parts, at least one."""
-        return max(1, -(-len(self.items) // self.part_entries))
+        return len(self.starts)
 
     def part(self, number: int) -> SnapshotPart:
-        """Give one part."""
-        start = number * self.part_entries
-        entries = tuple(Entry(key, value) for key, value in self.items[start : start + self.part_entries])
+        """Give one part; one past the last is empty."""
+        if number >= self.parts:
+            return SnapshotPart(self.version, number, self.parts, ())
+        end = self.starts[number + 1] if number + 1 < self.parts else len(self.items)
+        entries = tuple(Entry(key, value) for key, value in self.items[self.starts[number] : end])
         return SnapshotPart(self.version, number, self.parts, entries)
--- a/petrelhall/distribution/consensus.py
+++ b/petrelhall/distribution/consensus.py
@@ -14,11 +14,9 @@
 from petrelhall.accord.words import FULL
 from petrelhall.configuration.records import FIRST_RECORD, ControlRecord, decode_record, encode_record
 from petrelhall.distribution.coordinator import ConsensusState, ProposalFailed
-from petrelhall.distribution.timing import MARGIN, Timing
+from petrelhall.distribution.timing import CHECK_ROUNDS, MARGIN, REPLICA_ROUND_MS, Timing
 
 MESSAGES_PER_S = 4000.0  # that replicas may send each other: few are sent, but none may wait for its turn
-LATE_MS = 100.0  # a round trip between regions, at most
-CHECK_ROUNDS = 4.0  # round trips in which a record is fetched and looked at
 RETRY_MS = 30.0  # between two messages of one kind to a replica that has not answered: replicas are few
 
 
@@ -50,12 +48,13 @@
 
         A replica that dies meanwhile is asked until then; by then its lease has run out, and nobody asks it again.
         """
-        return MARGIN * self.life_ms + CHECK_ROUNDS * LATE_MS
+        return MARGIN * self.life_ms + CHECK_ROUNDS * REPLICA_ROUND_MS
 
 
 def replica_pace(replicas: int, timing: Timing) -> ReplicaPace:
     """Give the consensus' timing for so many replicas."""
-    found = pace(replicas, replicas, MESSAGES_PER_S, 1.0, timing.consensus_lease_ms, 0.0, LATE_MS, strictest=False)
+    lease_ms = timing.consensus_lease_ms
+    found = pace(replicas, replicas, MESSAGES_PER_S, 1.0, lease_ms, 0.0, REPLICA_ROUND_MS, strictest=False)
     known = {one.name: getattr(found, one.name) for one in fields(found)}
     return ReplicaPace(**{**known, "retry_ms": RETRY_MS, "again_ms": RETRY_MS})
 
--- a/petrelhall/distribution/coordinator.py
+++ b/petrelhall/distribution/coordinator.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from petrelhall.accord.documents import MOST_BYTES
 from petrelhall.configuration.document import Document
 from petrelhall.configuration.errors import ConfigurationError
-from petrelhall.configuration.records import FIRST_RECORD, ControlRecord
+from petrelhall.configuration.records import FIRST_RECORD, ControlRecord, encode_record
 from petrelhall.distribution.learner import Notified, Tick
 from petrelhall.distribution.leases import LeaseTable
 from petrelhall.distribution.messages import (
@@ -28,11 +29,11 @@
     Submit,
     Verdict,
 )
-from petrelhall.distribution.timing import Timing
+from petrelhall.distribution.timing import PROPOSE_AGAIN_MS, Timing
 
+MOST_RECORD_BYTES = MOST_BYTES - 4096  # of the consensus' documents; the rest is for how the change ends
 MOST_QUEUED = 1000  # operators' changes that wait for their turn
 FORGET_EVERY_MS = 1000.0
-RETRY_MS = 50.0  # after a proposal that failed
 
 # Events
 
@@ -164,7 +165,7 @@
             self.on_consensus(now, event)
         elif isinstance(event, ProposalFailed):
             if event.slot == self.proposed_slot:
-                self.proposed_at = now - self.timing.proposal_ms + RETRY_MS
+                self.proposed_at = now - self.timing.proposal_ms + PROPOSE_AGAIN_MS
         elif isinstance(event, ReportReceived):
             self.on_report(now, event)
         elif isinstance(event, HeartbeatReceived):
@@ -333,7 +334,13 @@
                 self.queue.popleft()
                 self.reply(submit.change, "refused", 0, str(error)[:MOST_REASON])
                 continue
-            self.propose(now, self.record.staging(delta))
+            record = self.record.staging(delta)
+            size = len(encode_record(record))
+            if size > MOST_RECORD_BYTES:
+                self.queue.popleft()
+                self.reply(submit.change, "refused", 0, f"{size} bytes; at most {MOST_RECORD_BYTES} in one change")
+                continue
+            self.propose(now, record)
             return
 
     # Operators
--- a/petrelhall/distribution/learner.py
+++ b/petrelhall/distribution/learner.py
@@ -172,7 +172,7 @@
         self.deadline = math.inf  # of the connection, or of the answer
         self.next_at = now + self.random.uniform(0.0, timing.jitter_ms)  # of the next connection or watch
         self.failures = 0
-        self.left = False
+        self.left = self.informed = False  # informed: anything was heard of what is active
         self.actions: list[LearnerAction] = []
 
     # What the shell asks before every request
@@ -282,7 +282,7 @@
         if event.link != self.link or not self.waiting or update.sequence != self.sequence:
             self.actions.append(Dropped("late"))
             return
-        self.waiting, self.next_at = False, now
+        self.waiting, self.next_at, self.informed = False, now, True
         if update.term >= self.term:
             self.term, self.coordinator = update.term, update.coordinator
         if update.active.number > self.active.number:
--- a/petrelhall/distribution/publisher.py
+++ b/petrelhall/distribution/publisher.py
@@ -14,6 +14,8 @@
 from petrelhall.distribution.messages import Grant, Update, Watch
 from petrelhall.distribution.timing import Timing
 
+MOST_CHANGES_BYTES = 1024 * 1024  # in one answer, but for a single change that is larger
+
 
 @dataclass(frozen=True, slots=True)
 class SendUpdate:
@@ -166,6 +168,9 @@
         found = self.history.since(watch.held, held_here)
         if found is None:
             return None
+        some = first_of(found, MOST_CHANGES_BYTES)
+        if len(some) < len(found):
+            return some  # the next watch asks for more
         if self.staged is not None:
             found += (self.staged,)
         if watch.held == held_here and watch.refusal is not None and found:
@@ -206,3 +211,13 @@
     def reaches(self, version: VersionName) -> bool:
         """Tell whether the kept changes lead from a version to the active one."""
         return self.history.since(version, self.document.name) is not None
+
+
+def first_of(deltas: tuple[Delta, ...], most_bytes: int) -> tuple[Delta, ...]:
+    """Give the first of some changes, at least one, that have no more bytes together."""
+    size = 0
+    for place, delta in enumerate(deltas):
+        size += delta.size
+        if place and size > most_bytes:
+            return deltas[:place]
+    return deltas
--- a/petrelhall/distribution/timing.py
+++ b/petrelhall/distribution/timing.py
@@ -6,6 +6,9 @@
 
 RHO = 0.01  # by which the rate of a process's monotonic clock may be wrong, either way
 MARGIN = 1.03  # > (1 + RHO) / (1 - RHO)
+REPLICA_ROUND_MS = 100.0  # a round trip between two replicas, at most
+CHECK_ROUNDS = 4.0  # round trips in which replicas fetch a record and look at it
+PROPOSE_AGAIN_MS = 50.0  # after a proposal that failed
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +54,11 @@
         """Give the time without word of a majority of replicas, after which who passes content on says so."""
         return float(self.lease_ms)
 
+    @property
+    def replica_lost_ms(self) -> float:
+        """Give what a replica costs that dies while a record is looked at: it is asked until it has no lease."""
+        return MARGIN * self.consensus_lease_ms + CHECK_ROUNDS * REPLICA_ROUND_MS + PROPOSE_AGAIN_MS
+
     @property
     def granted_ms(self) -> float:
         """Give for how long a coordinator counts a lease, from granting it: longer than it lasts at the gateway."""
@@ -62,7 +70,7 @@
 
     def change_silent_ms(self, round_ms: float, decision_ms: float, replica_silent: bool = False) -> float:
         """Give the bound on a change where gateways, and perhaps a replica, are silent."""
-        replicas_ms = MARGIN * self.consensus_lease_ms if replica_silent else 0.0
+        replicas_ms = self.replica_lost_ms if replica_silent else 0.0
         return replicas_ms + self.granted_ms + self.change_ms(round_ms, decision_ms)
 
     def change_takeover_ms(self, round_ms: float, decision_ms: float) -> float:
--- a/petrelhall/gateway/learning.py
+++ b/petrelhall/gateway/learning.py
@@ -13,7 +13,6 @@
 
 from petrelhall.configuration.deltas import Delta
 from petrelhall.configuration.document import Document
-from petrelhall.configuration.versions import EMPTY
 from petrelhall.decide import interface as api
 from petrelhall.distribution.learner import (
     Connect,
@@ -116,7 +115,7 @@
 
     def serves_by_file(self) -> bool:
         """Tell whether this gateway serves by its own file, since nothing was heard yet."""
-        return self.settings.begin == "file" and not self.core.leased and self.core.active == EMPTY and not self.epoch
+        return self.settings.begin == "file" and not self.core.informed
 
     def admitted(self, request: Request) -> None:
         """Tell the boxes under which version a request is let in, where they are to be told."""
--- a/petrelhall/replica/storage.py
+++ b/petrelhall/replica/storage.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from petrelhall.accord.votes import Memory
-from petrelhall.configuration.deltas import Delta
-from petrelhall.configuration.document import Assembly, Document, Snapshot
+from petrelhall.configuration.deltas import Delta, SnapshotPart
+from petrelhall.configuration.document import Assembly, Document
 from petrelhall.configuration.errors import ConfigurationError
 from petrelhall.configuration.versions import EMPTY, Entry, VersionName
 from petrelhall.net.files import write_safely, write_whole
@@ -102,12 +102,8 @@
             return None
         if stored.version == EMPTY:
             return None
-        document = Document()
-        document.entries = {entry.key: entry.value for entry in stored.entries}
-        snapshot = Snapshot(document, max(1, len(document.entries)))
-        snapshot.version = stored.version
         try:
-            return Assembly(stored.version, 1).add(snapshot.part(0))
+            return Assembly(stored.version, 1).add(SnapshotPart(stored.version, 0, 1, stored.entries))
         except ConfigurationError:
             return None
 
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -144,6 +144,20 @@
     return f"distributor-{fleet.distributors.index(serving.view()['distributor'])}"
 
 
+def test_who_began_by_its_file_goes_by_its_lease_once_it_has_heard_of_the_others(
+    tmp_path: Path, serving: Serving
+) -> None:
+    fleet = Fleet(tmp_path, 3, 1, 0)
+    try:
+        serving.begin(tmp_path, free_port(), distributors=fleet.distributors, begin="file")
+        until(lambda: serving.status() == 200 and serving.view()["lease_ms"] > 0)
+        fleet.kill("distributor-0")
+        until(lambda: serving.view()["lease_ms"] == 0)
+        assert serving.status() == 503
+    finally:
+        fleet.end()
+
+
 def test_until_anything_is_heard_a_gateway_refuses_or_serves_by_its_file(tmp_path: Path, serving: Serving) -> None:
     nobody = [free_port()]
     serving.begin(tmp_path, free_port(), distributors=nobody, begin="file")
