--- a/petrelhall/distribution/publisher.py
+++ b/petrelhall/distribution/publisher.py
@@ -14,6 +14,8 @@
 from petrelhall.distribution.messages import Grant, Update, Watch
 from petrelhall.distribution.timing import Timing
 
+MOST_CHANGES_BYTES = 1024 * 1024  # in one answer, but for a single change that is larger
+
 
 @dataclass(frozen=True, slots=True)
 class SendUpdate:
@@ -47,6 +49,8 @@
         self.timing, self.document = timing, document
         self.history = History(timing.kept_deltas)
         self.term = self.coordinator = 0
+        self.active = document.name  # the latest that is known of, with or without its content
+        self.detached = False
         self.staged: Delta | None = None
         self.pending: dict[int, PendingWatch] = {}
         self.fetches: dict[int, WholeFetch] = {}
@@ -62,9 +66,18 @@
         for delta in deltas:
             self.history.add(delta)
 
-    def publish(self, now: float, term: int, coordinator: int, staged: Delta | None) -> list[SendUpdate]:
+    def publish(
+        self,
+        now: float,
+        term: int,
+        coordinator: int,
+        active: VersionName,
+        staged: Delta | None,
+        detached: bool = False,
+    ) -> list[SendUpdate]:
         """Tell those that wait for it what has changed."""
-        self.term, self.coordinator = term, coordinator
+        self.term, self.coordinator, self.detached = term, coordinator, detached
+        self.active = max(active, self.document.name, key=lambda name: name.number)
         follows = staged is not None and staged.base == self.document.name
         self.staged = staged if follows else None
         return [
@@ -109,11 +122,11 @@
 
     def is_news(self, watch: Watch) -> bool:
         """Tell whether there is anything that the sender of a watch does not know."""
-        active = self.document.name
-        if watch.held.number < active.number or watch.term < self.term:
+        active = self.active
+        if watch.held.number < active.number or watch.term < self.term or self.detached:
             return True
-        if watch.held != active:
-            return watch.held.number == active.number  # another content under this number
+        if watch.held != self.document.name:
+            return watch.held.number == self.document.name.number  # another content under this number
         staged = self.staged.target.number if self.staged is not None else 0
         refused = watch.refusal.version if watch.refusal is not None else 0
         if staged:
@@ -139,24 +152,28 @@
             sequence=watch.sequence,
             term=self.term,
             coordinator=self.coordinator,
-            active=self.document.name,
+            active=self.active,
             staged=staged,
             changes=changes,
             grant=grant,
             retry_ms=retry_ms,
+            detached=self.detached,
         )
 
     def changes(self, watch: Watch) -> tuple[Delta, ...] | None:
         """Give the changes that the sender of a watch lacks; None where it needs the whole."""
-        active = self.document.name
-        if watch.held.number > active.number:
+        held_here = self.document.name
+        if watch.held.number > held_here.number:
             return ()
-        found = self.history.since(watch.held, active)
+        found = self.history.since(watch.held, held_here)
         if found is None:
             return None
+        some = first_of(found, MOST_CHANGES_BYTES)
+        if len(some) < len(found):
+            return some  # the next watch asks for more
         if self.staged is not None:
             found += (self.staged,)
-        if watch.held == active and watch.refusal is not None and found:
+        if watch.held == held_here and watch.refusal is not None and found:
             return tuple(delta for delta in found if delta.target.number not in (watch.prepared, watch.refusal.version))
         return tuple(delta for delta in found if delta.target.number != watch.prepared)
 
@@ -194,3 +211,13 @@
     def reaches(self, version: VersionName) -> bool:
         """Tell whether the kept changes lead from a version to the active one."""
         return self.history.since(version, self.document.name) is not None
+
+
+def first_of(deltas: tuple[Delta, ...], most_bytes: int) -> tuple[Delta, ...]:
+    """Give the first of some changes, at least one, that have no more bytes together."""
+    size = 0
+    for place, delta in enumerate(deltas):
+        size += delta.size
+        if place and size > most_bytes:
+            return deltas[:place]
+    return deltas
