--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -179,6 +179,16 @@
     assert verdict.in_force[-1].since_proposed_ms < 4000.0
 
 
+def test_gateways_hold_leases_where_each_hop_takes_a_tenth_of_a_second() -> None:
+    world = WatchedWorld(20, 5, links=Links(delay_ms=(100.0, 101.0)))
+    change(world, 1, 15_000.0)
+    world.run(5000.0)
+    gateways = [process.core for node, process in world.processes.items() if node[0] == "gateway"]
+    assert sum(gateway.link for gateway in gateways) == 20  # none gave its connection up
+    assert world.in_force_everywhere("change-1")
+    assert world.verdict().clean
+
+
 def test_an_old_lease_that_is_not_waited_for_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     world = started_world()
     monkeypatch.setattr(LeaseTable, "unprepared", lambda self, now, version: [])
