Scale benchmarks: the discovery before a measured gateway is silent when that ends

Cause: a gateway that is killed resets its connection, and the stand-in wrote a traceback for each. Change: the server says nothing of broken connections.

--- a/benchmarks/scale/child.py
+++ b/benchmarks/scale/child.py
@@ -56,12 +56,20 @@
         """Write no log."""
 
 
+class Server(ThreadingHTTPServer):
+    """Serves until it is told to end, whatever becomes of its clients."""
+
+    daemon_threads = True
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Say nothing: a gateway that is ended resets its connection."""
+
+
 @contextlib.contextmanager
 def discovery(listing: dict[str, Any]) -> Iterator[str]:
     """Serve a list of servers at an address on loopback."""
     handler = type("Listing", (Answers,), {"whole": json.dumps(listing).encode()})
-    server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
-    server.daemon_threads = True
+    server = Server(("127.0.0.1", 0), handler)
     thread = threading.Thread(target=server.serve_forever, daemon=True)
     thread.start()
     try:
