--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -72,7 +72,7 @@
     given.out.parent.mkdir(parents=True, exist_ok=True)
     write_record(given.out, record)
     for name in subjects:
-        plot_subject(name, [slope for slope in slopes if slope.command.split()[-1] == name], given.out.parent)
+        plot_subject(name, [slope for slope in record.slopes if slope.command.split()[-1] == name], given.out.parent)
 
 
 def describe(slope: Slope) -> str:
