--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 test: setup
 	$(VENV)/bin/ruff format --check petrelhall tests benchmarks
 	$(VENV)/bin/ruff format --check --line-length 110 petrelhall/decide/policy.py
-	$(VENV)/bin/ruff check petrelhall tests
+	$(VENV)/bin/ruff check petrelhall tests benchmarks
 	$(VENV)/bin/mypy petrelhall
 	$(VENV)/bin/lint-imports
 	$(VENV)/bin/petrelhall schema --check deploy/operator.schema.json
