A late answer no longer costs a gateway its distributor; all watches wait alike

Cause: Timing.late_ms, L / 6 = 250 ms, is shorter than two hops, so each answer came for a connection that was given up already; and a watch without a lease was answered empty after 250 ms (short_wait_ms), while a grant serves only the watch that asked. Ruled out by a trial: a longer late_ms alone keeps connections, and leases stay at none. Change: late_ms is L / 3, and every watch waits L / 3; a grant answers one without a lease at once, as before. Leases count as before.

--- a/petrelhall/distribution/learner.py
+++ b/petrelhall/distribution/learner.py
@@ -250,7 +250,7 @@
     def watch(self, now: float) -> None:
         """Ask for what is new, which also acknowledges, releases and renews."""
         lease_ms = max(0, int(self.lease_until - now)) if self.admits(now) is not None else 0
-        wait_ms = self.timing.wait_ms if lease_ms or not self.wants_lease else self.timing.short_wait_ms
+        wait_ms = self.timing.wait_ms
         if self.assembly is not None or self.needs_whole:
             wait_ms = 0
         self.sequence += 1
--- a/petrelhall/distribution/timing.py
+++ b/petrelhall/distribution/timing.py
@@ -31,18 +31,13 @@
 
     @property
     def wait_ms(self) -> int:
-        """Give how long a watch of a gateway with a lease waits: two more fit in a lease after one that is lost."""
+        """Give how long a watch waits; one without a lease is answered as soon as there is a grant for it."""
         return self.lease_ms // 3
 
-    @property
-    def short_wait_ms(self) -> int:
-        """Give how long a watch of a gateway without a lease waits."""
-        return self.lease_ms // 6
-
     @property
     def late_ms(self) -> float:
         """Give the time after the wait of a watch, after which its connection counts as lost."""
-        return self.lease_ms / 6.0
+        return self.lease_ms / 3.0
 
     @property
     def jitter_ms(self) -> float:
