--- a/tests/test_scale_benchmarks.py
+++ b/tests/test_scale_benchmarks.py
@@ -63,7 +63,6 @@
 }
 # Slopes that the record still lacks: their timed runs need the machine alone, and are to be made up for.
 NOT_MEASURED = {
-    "accord.cpu",
     "counter.calls",
     "decide.snapshot.bytes",
     "decide.snapshot.cpu",
@@ -71,16 +70,9 @@
     "decide.sweep.longest",
     "decide.tenants.cpu",
     "decide.tenants.memory",
-    "document.routes.cpu",
-    "document.tenants.cpu",
     "gossip.bytes",
     "gossip.in.cpu",
     "gossip.messages",
-    "process.rest.cpu",
-    "quota.counter.cpu",
-    "quota.cpu",
-    "quota.open.cpu",
-    "quota.turn.longest",
 }
 
 
