--- a/tests/test_scale_benchmarks.py
+++ b/tests/test_scale_benchmarks.py
@@ -61,19 +61,6 @@
     "links": {"request.cpu", "tick.longest", "tick.cpu", "opened", "memory", "opened.descriptors"},
     "process": {"rest.memory", "peak.memory", "rest.cpu", "rest.descriptors"},
 }
-# Slopes that the record still lacks: their timed runs need the machine alone, and are to be made up for.
-NOT_MEASURED = {
-    "counter.calls",
-    "decide.snapshot.bytes",
-    "decide.snapshot.cpu",
-    "decide.sweep.forget",
-    "decide.sweep.longest",
-    "decide.tenants.cpu",
-    "decide.tenants.memory",
-    "gossip.bytes",
-    "gossip.in.cpu",
-    "gossip.messages",
-}
 
 
 def slope_names(subject: str) -> set[str]:
@@ -201,7 +188,7 @@
         expected = {name for subject in SUBJECTS for name in slope_names(subject)}
         runs = {slope.name for slope in self.record.slopes if slope.command == RUN_COMMAND}
         self.assertTrue(all(name.startswith(RUN_PREFIX) for name in runs), runs)
-        self.assertEqual({slope.name for slope in self.record.slopes} - runs, expected - NOT_MEASURED)
+        self.assertEqual({slope.name for slope in self.record.slopes} - runs, expected)
 
     def test_every_subject_has_a_plot(self) -> None:
         measured = [slope for slope in self.record.slopes if slope.command != RUN_COMMAND]
