--- a/review/common/world.py
+++ b/review/common/world.py
@@ -207,8 +207,8 @@
         self.run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         self.listen = f"127.0.0.1:{free_port()}"
 
-    def start_gateway(self, limits: dict | None = None, **changes) -> subprocess.Popen:
-        """Start the gateway and wait until it answers GET /healthz with 200."""
+    def start_gateway(self, limits: dict | None = None, mgmt: str = "", **changes) -> subprocess.Popen:
+        """Start a process of the gateway; wait until it says that it is ready, at ``mgmt`` or at GET /healthz."""
         tmp = self.folder / "tmp"
         tmp.mkdir(exist_ok=True)
         config = {
@@ -216,6 +216,8 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **(limits or {})},
             "known": self.discovery.listing(), "settings": settings(**changes),
         }
+        if mgmt:
+            config["mgmt"] = mgmt
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         environment = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
@@ -231,8 +233,9 @@
             if process.poll() is not None:
                 raise CannotRun(f"the gateway ended with {process.returncode}: {self.log()}")
             try:
-                with self.connect(2.0) as sock:
-                    sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: service.internal\r\n\r\n")
+                with self.connect(2.0, mgmt) as sock:
+                    target = b"/control/ready" if mgmt else b"/healthz"
+                    sock.sendall(b"GET %s HTTP/1.1\r\nHost: service.internal\r\n\r\n" % target)
                     first = Reader(sock).head()
                 if first and " 200" in first[0]:
                     return process
@@ -241,13 +244,11 @@
             time.sleep(0.05)
         raise CannotRun("the gateway did not become ready")
 
-    def connect(self, timeout: float = 10.0, buffer: int = 0) -> socket.socket:
-        """Connect to the gateway as a client does."""
+    def connect(self, timeout: float = 10.0, to: str = "") -> socket.socket:
+        """Connect to the gateway as a client does, or to another address."""
         sock = socket.socket()
-        if buffer:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
         sock.settimeout(timeout)
-        host, port = self.listen.split(":")
+        host, port = (to or self.listen).split(":")
         sock.connect((host, int(port)))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock
