Event loop: tell how long its turns take and which part of a turn takes the time

Neither log nor counters could tell whether one connection holds the loop for long, many do so for a short time each, or handlers and timers do.

One clock reading for each step of a task.

--- a/petrelhall/net/loop.py
+++ b/petrelhall/net/loop.py
@@ -15,6 +15,8 @@
 from collections.abc import Callable, Generator
 from typing import Any, TypeVar
 
+from petrelhall.net.turns import SLOW_TURN_BOUNDS_MS, Turn, TurnTimes
+
 T = TypeVar("T")
 Steps = Generator[None, None, T]  # a coroutine run by a task; it ends with a value
 
@@ -70,6 +72,7 @@
         self.polled_at = now_ms()  # when the sockets were last polled
         self.previous_poll_at = self.polled_at  # when they were polled before that
         self.earliest_ready_at = self.polled_at  # what the last poll reported was not ready before this time
+        self.turn_times = TurnTimes()
 
     # Readiness. A handler may close only its own descriptor: a later event of the same batch could otherwise be
     # attributed to a new socket with the same descriptor number. Tasks and timers may close any.
@@ -147,13 +150,41 @@
             handler = self.handlers.get(fd)
             if handler is not None:
                 self.guard(handler, mask)
-        now = now_ms()
+        timers_started_at = now_ms()
+        self.run_timers(timers_started_at)
+        self.run_tasks(timers_started_at)
+
+    def run_timers(self, now: float) -> None:
+        """Make the calls that are due."""
         while self.timers and self.timers[0][0] <= now:
             call = heapq.heappop(self.timers)[2].call
             if call is not None:
                 self.guard(call)
-        for _ in range(len(self.ready)):
+
+    def run_tasks(self, timers_started_at: float) -> None:
+        """Resume each task that is ready, once, and record how long the turn took."""
+        started_at = step_started_at = now_ms()
+        steps, longest_step_ms = len(self.ready), 0.0
+        for _ in range(steps):
             self.step(self.ready.popleft())
+            now = now_ms()
+            if now - step_started_at > longest_step_ms:
+                longest_step_ms = now - step_started_at
+            step_started_at = now
+        times = self.turn_times
+        times.turns += 1
+        if longest_step_ms > times.longest_step_ms:
+            times.longest_step_ms = longest_step_ms
+        if step_started_at - self.polled_at >= SLOW_TURN_BOUNDS_MS[0]:
+            times.record(
+                Turn(
+                    timers_started_at - self.polled_at,
+                    started_at - timers_started_at,
+                    step_started_at - started_at,
+                    steps,
+                    longest_step_ms,
+                )
+            )
 
     def poll_timeout_s(self) -> float:
         """Return the poll timeout: the seconds until the next task or timer is due."""
