Many requests sent at once: one request of a connection is answered in each turn of the loop

Cause: a task runs until it waits, and Listener.serve_client waits for bytes and servers only, so that whatever one connection had sent was answered in one step: 250 requests, or 2,000 short ones.

Evidence: of a turn of 2,151 ms, 100 task steps took 2,149.5 ms, the longest 30.9 ms (2,000 404s: 174 ms); handlers and timers took 1.4 ms together.

Change: http.reader.EventReader reads for all connections; a complete request ends its connection's share of the turn, and the task resumes in the next one, behind those that are ready. Input beyond 64 KiB stays in the kernel. A request that waits for its turn does not run out of time; a connection that has to make room ends with its next answer. It works since a turn now has one request of each connection at most.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -23,7 +23,7 @@
 from petrelhall.http.room import BodyBudget
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, describe, now_ms
-from petrelhall.net.stream import MAX_UNREAD_BYTES, RESOURCE_ERRNOS, Address, Stream, bind_socket
+from petrelhall.net.stream import MAX_UNREAD_BYTES, READ_CHUNK_BYTES, RESOURCE_ERRNOS, Address, Stream, bind_socket
 
 LISTEN_BACKLOG = 1024
 ACCEPTS_PER_TURN = 64
@@ -87,6 +87,7 @@
         self.stream, self.http = stream, HttpServerConnection(stream, body_budget, check_head)
         # A request is in flight; any request was answered; the first byte of the next request has arrived.
         self.busy = self.answered = self.request_started = False
+        self.evicted = False  # the next answer is the last one: others wait for the descriptor
         self.idle_since = now_ms()  # when it connected, or was last answered
         self.expires_at = self.idle_since + FIRST_REQUEST_TIMEOUT_MS  # closed then, unless a request is complete
         self.bytes_before_request = 0  # bytes received on the stream before the current request
@@ -106,6 +107,17 @@
         """Return whether the client has closed the connection."""
         return self.stream.is_peer_closed()
 
+    def begin_request(self) -> None:
+        """Watch for a close even behind a flood of unread bytes: the request must not be attempted after it."""
+        self.busy = True
+        self.stream.max_unread, self.stream.drop_excess = MAX_UNREAD_BYTES, True
+
+    def end_request(self) -> None:
+        """Leave what the client sends from now on in the kernel until it is read."""
+        self.busy, self.answered, self.request_started, self.idle_since = False, True, False, now_ms()
+        self.expires_at, self.bytes_before_request = self.idle_since + IDLE_TIMEOUT_MS, self.stream.received
+        self.stream.max_unread, self.stream.drop_excess = READ_CHUNK_BYTES, False
+
 
 class Listener:
     """Accepts clients on a listening socket and serves their requests."""
@@ -196,8 +208,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = Stream(self.loop, sock, lambda: None)
-        # A close must be noticed even behind a flood of unread bytes.
-        stream.end_on_peer_close = stream.drop_excess = True
+        stream.end_on_peer_close, stream.max_unread = True, READ_CHUNK_BYTES
         stream.queued_since = self.queued_since
         client = Client(stream, self.body_budget, self.codec.parse_request)
         self.clients.add(client)
@@ -221,13 +232,20 @@
             evictable = evictable[: max(0, wanted - self.lingering)]
             for client in evictable:
                 self.counts.add("connections", "made_room")
-                client.expires_at = 0.0
-                client.stream.notify()
+                self.evict(client)
             self.at_capacity = True
             self.loop.after(0.0 if evictable else ACCEPT_PAUSE_MS, self.evict_clients)
         else:
             self.resume_accepting()
 
+    def evict(self, client: Client) -> None:
+        """End a connection that is not busy; one whose next request waits for its turn ends with that answer."""
+        if client.http.request_waiting:
+            client.evicted = True
+        else:
+            client.expires_at = 0.0
+        client.stream.notify()
+
     def sweep(self) -> None:
         """Wake the connections whose time is up; one periodic scan costs less than a timer for each of them."""
         self.loop.after(SWEEP_INTERVAL_MS, self.sweep)
@@ -263,11 +281,11 @@
             if (self.draining or client.answered) and not client.gone:
                 yield from self.close_gracefully(client)
             return False
-        client.busy = True
+        client.begin_request()
         answer: Answer | HttpError | None
         if isinstance(received, HttpRequest) and received.target.partition(b"?")[0] == HEALTH_PATH:
             status, body = (200, b"ready\n") if self.is_healthy() and not self.draining else (503, b"not ready\n")
-            keep_alive = client.http.send_response(status, [], body, self.draining)
+            keep_alive = client.http.send_response(status, [], body, self.draining or client.evicted)
         else:
             request = self.codec.parse_request(received) if isinstance(received, HttpRequest) else received
             if isinstance(request, Request) and isinstance(received, HttpRequest) and received.streaming_body is None:
@@ -303,6 +321,7 @@
                     answer = received = body_rest.error
             last = (
                 self.draining
+                or client.evicted
                 or isinstance(received, HttpError)
                 or client.http.receiving_body
                 or client.stream.dropped_bytes > 0
@@ -316,8 +335,7 @@
         keep_alive = keep_alive and not client.stream.dropped_bytes
         if not keep_alive and not (self.at_capacity and isinstance(received, HttpError) and received.status == 408):
             yield from self.linger(client, client.http.receiving_body)
-        client.busy, client.answered, client.request_started, client.idle_since = False, True, False, now_ms()
-        client.expires_at, client.bytes_before_request = client.idle_since + IDLE_TIMEOUT_MS, client.stream.received
+        client.end_request()
         return keep_alive and not client.gone
 
     def next_request(self, client: Client) -> Steps[HttpRequest | HttpError | None]:
@@ -326,6 +344,9 @@
             received = client.http.read_request()
             if received is not None or client.gone:
                 return received
+            if client.http.request_waiting:
+                yield  # for its turn, whatever the time
+                continue
             started, now = client.http.request_started, now_ms()
             if started and not client.request_started:
                 client.request_started = True
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -406,7 +406,7 @@
         # The exit has begun: another SIGTERM would kill the process during the interpreter's own shutdown.
         signal.signal(signal.SIGTERM, signal.SIG_IGN)
         self.log.write(str(self.counts))
-        self.log.write(str(self.loop.turn_times))
+        self.log.write(f"loop: {self.loop.turns} turns, {self.loop.turn_times}")
         for line in self.pool.describe()[:1] + (self.traffic_shifter.describe() if self.traffic_shifter else []):
             self.log.write(line)
 
@@ -415,7 +415,7 @@
         for number in numbers:
             if number == signal.SIGUSR1:
                 self.log.write(str(self.counts))
-                self.log.write(str(self.loop.turn_times))
+                self.log.write(f"loop: {self.loop.turns} turns, {self.loop.turn_times}")
                 for line in self.pool.describe() + (self.traffic_shifter.describe() if self.traffic_shifter else []):
                     self.log.write(line)
             elif number == signal.SIGHUP:
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from petrelhall.http.reader import DEFERRED, EventReader
 from petrelhall.http.room import BodyBudget
 from petrelhall.net.stream import Stream
 
@@ -116,10 +117,10 @@
     return b"content-length" in headers and b"transfer-encoding" in headers
 
 
-def read_available(http: h11.Connection) -> tuple[bytes, Any]:
+def read_available(reader: EventReader) -> tuple[bytes, Any]:
     """Return the body bytes received and the event that ends or interrupts them (h11.RemoteProtocolError)."""
     data = bytearray()
-    while isinstance(event := http.next_event(), h11.Data):
+    while isinstance(event := reader.next_event(), h11.Data):
         data += event.data
     return bytes(data), event
 
@@ -130,7 +131,18 @@
     With ``body_budget``, bodies over SMALL_BODY_BYTES are buffered while it allows, and otherwise streamed.
     """
 
-    __slots__ = ("stream", "http", "head", "headers", "body", "body_budget", "check_head", "reserved", "body_received")
+    __slots__ = (
+        "stream",
+        "reader",
+        "http",
+        "head",
+        "headers",
+        "body",
+        "body_budget",
+        "check_head",
+        "reserved",
+        "body_received",
+    )
 
     def __init__(
         self,
@@ -138,7 +150,8 @@
         body_budget: BodyBudget | None = None,
         check_head: Callable[[HttpRequest], object] = lambda message: None,
     ) -> None:
-        self.stream, self.http, self.body_budget = stream, h11.Connection(h11.SERVER), body_budget
+        self.stream, self.reader, self.body_budget = stream, EventReader(stream, h11.SERVER), body_budget
+        self.http = self.reader.http
         self.check_head = check_head  # checks a head before its large body is read; an HttpError is answered at once
         self.head: h11.Request | None = None
         self.headers: dict[bytes, bytes] = {}
@@ -146,18 +159,19 @@
         self.reserved = self.body_received = 0  # bytes reserved in the budget for this body; bytes of it received
 
     def read_request(self) -> HttpRequest | HttpError | None:
-        """Return the next request once it is complete, or once its body has to be streamed."""
-        if self.stream.incoming:
-            self.http.receive_data(self.stream.take())
-        elif not self.http.trailing_data[0]:
+        """Return the next request once it is complete, or once its body has to be streamed.
+
+        One request is returned in each turn of the event loop: a client that sends many at once waits its turn.
+        """
+        if not self.reader.has_input:
             return None  # nothing new: asking h11 would cost as much as parsing a head
         try:
             while True:
-                event = self.http.next_event()
+                event = self.reader.next_event()
                 if event is h11.NEED_DATA:
                     self.send_continue()
                     return None
-                if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                if event is DEFERRED or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                     return None
                 if isinstance(event, h11.Request):
                     self.head, self.headers, self.body_received = event, headers_by_name(event), 0
@@ -213,6 +227,8 @@
         message = self.build_request(b"" if streamed else body, streaming_body)
         self.body.clear()
         self.head = None
+        if not streamed:
+            self.reader.end_message()
         return message
 
     def build_request(self, body: bytes, streaming_body: StreamingBody | None) -> HttpRequest:
@@ -231,10 +247,8 @@
 
     def read_more_body(self) -> tuple[bytes, bool] | HttpError:
         """Return the bytes of a streamed body received since the last call and whether it is complete."""
-        if self.stream.incoming:
-            self.http.receive_data(self.stream.take())
         try:
-            data, event = read_available(self.http)
+            data, event = read_available(self.reader)
         except h11.RemoteProtocolError as error:
             return HttpError(error.error_status_hint, str(error))
         self.body_received += len(data)
@@ -243,7 +257,12 @@
         if event is h11.NEED_DATA:
             self.send_continue()
             return data, False
-        return (data, True) if isinstance(event, h11.EndOfMessage) else HttpError(400, "body cut off")
+        if event is DEFERRED:
+            return data, False
+        if not isinstance(event, h11.EndOfMessage):
+            return HttpError(400, "body cut off")
+        self.reader.end_message()
+        return data, True
 
     @property
     def receiving_body(self) -> bool:
@@ -260,6 +279,11 @@
         """Whether a part of a request has been received."""
         return bool(self.stream.incoming or self.head or self.http.trailing_data[0])
 
+    @property
+    def request_waiting(self) -> bool:
+        """Whether what may be a complete request was received and waits for its turn."""
+        return self.reader.deferred and self.head is None
+
     def send_response(self, status: int, headers: Headers, body: bytes, last: bool) -> bool:
         """Send a complete response; return whether the connection can carry another request."""
         fields = [*headers, (b"Content-Length", b"%d" % len(body))]
@@ -308,10 +332,11 @@
 class HttpClientConnection:
     """The client side of a connection, sending one request at a time."""
 
-    __slots__ = ("stream", "http", "head", "headers", "body", "interim", "streamed_bytes")
+    __slots__ = ("stream", "reader", "http", "head", "headers", "body", "interim", "streamed_bytes")
 
     def __init__(self, stream: Stream) -> None:
-        self.stream, self.http, self.interim = stream, h11.Connection(h11.CLIENT), 0
+        self.stream, self.reader, self.interim = stream, EventReader(stream, h11.CLIENT), 0
+        self.http = self.reader.http
         self.streamed_bytes = 0  # bytes received of a streaming response
         self.head: h11.Response | None = None
         self.headers: dict[bytes, bytes] = {}
@@ -342,13 +367,13 @@
 
     def read_response(self, max_bytes: int = SMALL_BODY_BYTES) -> HttpResponse | StreamingResponse | HttpError | None:
         """Return the response once it is complete; an incomplete response is an error and never served."""
-        if self.stream.incoming:
-            self.http.receive_data(self.stream.take())
-        elif not self.stream.ended:
+        if not self.reader.has_input and not self.stream.ended:
             return None
         try:
             while True:
-                event = self.http.next_event()
+                event = self.reader.next_event()
+                if event is DEFERRED:
+                    return None
                 if event is h11.NEED_DATA:
                     if not self.stream.ended:
                         return None
@@ -394,10 +419,8 @@
 
         A response that was cut off is an HttpError.
         """
-        if self.stream.incoming:
-            self.http.receive_data(self.stream.take())
         try:
-            data, event = read_available(self.http)
+            data, event = read_available(self.reader)
             if event is h11.NEED_DATA and self.stream.ended:
                 if self.stream.error:
                     return HttpError(502, f"broken ({self.stream.error})")
@@ -408,7 +431,7 @@
         self.streamed_bytes += len(data)
         if self.streamed_bytes > MAX_RESPONSE_BODY_BYTES:
             return HttpError(502, "answer without end")
-        if event is h11.NEED_DATA:
+        if event is h11.NEED_DATA or event is DEFERRED:
             return data, False
         if not isinstance(event, h11.EndOfMessage):
             return HttpError(502, "answer cut off")
@@ -423,4 +446,5 @@
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
             return False
         self.http.start_next_cycle()
+        self.reader.needs_data = True  # nothing is left over: see above
         return True
--- /dev/null
+++ b/petrelhall/http/reader.py
@@ -0,0 +1,66 @@
+"""Reads h11 events from a stream, of one message in each turn of the event loop.
+
+One thread parses for all connections. What one peer has sent may hold hundreds of requests, so a connection that has
+used its share of a turn continues in the next turn, after all others.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import h11
+
+from petrelhall.net.stream import Stream
+
+PIECE_BYTES = 16384  # handed to h11 at a time
+
+
+class Deferred:
+    """Returned in place of an event if the connection has used its share of this turn."""
+
+
+DEFERRED = Deferred()
+
+
+class EventReader:
+    """Feeds an h11 connection from its stream and returns its events."""
+
+    __slots__ = ("stream", "loop", "http", "parse_event", "turn", "message_read", "needs_data", "deferred")
+
+    def __init__(self, stream: Stream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+        self.stream, self.loop, self.http = stream, stream.loop, h11.Connection(role)
+        self.parse_event = self.http.next_event
+        self.turn, self.message_read = self.loop.turns, False  # whether a message ended in that turn
+        self.needs_data = True  # h11 has nothing to return before it is given more bytes
+        self.deferred = False  # the last read stopped because the share of its turn was used
+
+    @property
+    def has_input(self) -> bool:
+        """Whether there may be an event to return."""
+        return not self.needs_data or bool(self.stream.incoming)
+
+    def next_event(self) -> Any:
+        """Return the next event, ``h11.NEED_DATA`` or ``DEFERRED`` (h11.RemoteProtocolError).
+
+        After ``DEFERRED`` the running task resumes in the next turn of the loop by itself.
+        """
+        if self.turn != self.loop.turns:
+            self.turn, self.message_read, self.deferred = self.loop.turns, False, False
+        while not self.message_read:
+            if self.needs_data and self.stream.incoming:
+                self.http.receive_data(self.stream.take_piece(PIECE_BYTES))
+            event = self.parse_event()
+            if event is not h11.NEED_DATA:
+                self.needs_data = False
+                return event
+            self.needs_data = True
+            if not self.stream.incoming:
+                return event
+        self.deferred = True
+        self.loop.resume_next_turn()
+        return DEFERRED
+
+    def end_message(self) -> None:
+        """End the connection's share of this turn: a message is complete, and the next one waits for its turn."""
+        self.message_read = True
+        self.needs_data = not self.http.trailing_data[0]
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -395,7 +395,7 @@
                         )
                     self.counts.add("servers", "too_large")
                 return AttemptResult(Ending.ERROR, progress, reply.reason)
-            if isinstance(reply, HttpError) or stream.ended:
+            if isinstance(reply, HttpError) or (stream.ended and not http.reader.deferred):
                 # If a connection breaks before the last byte is written, nothing ran. Only a failed connect is
                 # evidence about the server: this connection may have been closed as idle.
                 if not http.head:
--- a/petrelhall/net/loop.py
+++ b/petrelhall/net/loop.py
@@ -72,6 +72,7 @@
         self.polled_at = now_ms()  # when the sockets were last polled
         self.previous_poll_at = self.polled_at  # when they were polled before that
         self.earliest_ready_at = self.polled_at  # what the last poll reported was not ready before this time
+        self.turns = 0  # begun so far
         self.turn_times = TurnTimes()
 
     # Readiness. A handler may close only its own descriptor: a later event of the same batch could otherwise be
@@ -116,6 +117,16 @@
             raise RuntimeError("no task is running")
         return self.current
 
+    def resume_next_turn(self) -> None:
+        """Resume the running task in the next turn, whatever happens: it has used its share of this one.
+
+        The task still yields as it does to wait. Tasks that are ready by then are resumed before it.
+        """
+        task = self.this_task()
+        if not task.queued:
+            task.queued = True
+            self.ready.append(task)
+
     def sleep(self, delay_ms: float) -> Steps[None]:
         """Suspend the running task for a time."""
         until = now_ms() + delay_ms
@@ -140,6 +151,7 @@
 
         Sockets come before timers, so that data received before a deadline counts as in time.
         """
+        self.turns += 1
         poll_started_at = now_ms()
         events = self.epoll.poll(self.poll_timeout_s())
         self.previous_poll_at, self.polled_at = self.polled_at, now_ms()
@@ -172,7 +184,6 @@
                 longest_step_ms = now - step_started_at
             step_started_at = now
         times = self.turn_times
-        times.turns += 1
         if longest_step_ms > times.longest_step_ms:
             times.longest_step_ms = longest_step_ms
         if step_started_at - self.polled_at >= SLOW_TURN_BOUNDS_MS[0]:
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -121,7 +121,8 @@
                 if not dropped or self.dropped_bytes > MAX_DROPPED_BYTES:
                     self.end(0)
                 return
-            data = self.sock.recv(min(READ_CHUNK_BYTES, self.max_unread))
+            # One byte more than may be unread, so that a full buffer can be told from one that is exactly used up.
+            data = self.sock.recv(min(READ_CHUNK_BYTES, self.max_unread + 1 - len(self.incoming)))
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -143,6 +144,15 @@
         self.watch()
         return data
 
+    def take_piece(self, max_bytes: int) -> bytes:
+        """Return and remove the first bytes received and not yet read, limited to so many bytes."""
+        if len(self.incoming) <= max_bytes:
+            return self.take()
+        piece = bytes(self.incoming[:max_bytes])
+        del self.incoming[:max_bytes]
+        self.watch()
+        return piece
+
     def discard(self) -> None:
         """Drop all further input in the kernel, without copying it: bodies can be 60 MB."""
         self.discarding = True
--- a/petrelhall/net/turns.py
+++ b/petrelhall/net/turns.py
@@ -38,7 +38,6 @@
     """Counts the turns by length and keeps the longest one and the longest step of any task."""
 
     def __init__(self) -> None:
-        self.turns = 0
         self.slow_turns = [0] * len(SLOW_TURN_BOUNDS_MS)  # turns at least as long as each bound
         self.longest_turn = Turn()
         self.longest_step_ms = 0.0
@@ -56,7 +55,4 @@
             f"{count} of {bound_ms:.0f} ms or more"
             for count, bound_ms in zip(self.slow_turns, SLOW_TURN_BOUNDS_MS, strict=True)
         )
-        return (
-            f"loop: {self.turns} turns, {slow}; longest step {self.longest_step_ms:.1f} ms; "
-            f"longest turn {self.longest_turn}"
-        )
+        return f"{slow}; longest step {self.longest_step_ms:.1f} ms; longest turn {self.longest_turn}"
