Small chunks: at most 32 parser events of a connection in each turn of the loop

What callers saw: while 24 clients sent bodies in chunks of one byte, usual requests with a deadline of 1.5 s were answered after 2.3 s in the median and 4.1 s at most.

Cause: a message was parsed as far as its bytes had come, in one step; 64 kB of such chunks are 10,900 events. Servers' answers and discovery's lists go through the same loop over the parser's events.

Evidence: with 8 such clients, 8 task steps took 537.8 of a turn of 538.4 ms, the longest 70.9 ms.

Change: EventReader ends a connection's share of a turn after 32 events too. It works since every message is read through it: kept whole or passed on, from clients, servers, discovery and operators.

--- a/petrelhall/http/reader.py
+++ b/petrelhall/http/reader.py
@@ -1,7 +1,7 @@
-"""Reads h11 events from a stream, of one message in each turn of the event loop.
+"""Reads h11 events from a stream, a limited number in each turn of the event loop.
 
-One thread parses for all connections. What one peer has sent may hold hundreds of requests, so a connection that has
-used its share of a turn continues in the next turn, after all others.
+One thread parses for all connections. What one peer has sent may hold hundreds of requests or thousands of events, so
+a connection that has used its share of a turn continues in the next turn, after all others.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 
 from petrelhall.net.stream import Stream
 
+EVENTS_PER_TURN = 32  # of one connection: heads, parts of bodies, ends
 PIECE_BYTES = 16384  # handed to h11 at a time
 
 
@@ -25,12 +26,12 @@
 class EventReader:
     """Feeds an h11 connection from its stream and returns its events."""
 
-    __slots__ = ("stream", "loop", "http", "parse_event", "turn", "message_read", "needs_data", "deferred")
+    __slots__ = ("stream", "loop", "http", "parse_event", "turn", "events_left", "needs_data", "deferred")
 
     def __init__(self, stream: Stream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
         self.stream, self.loop, self.http = stream, stream.loop, h11.Connection(role)
         self.parse_event = self.http.next_event
-        self.turn, self.message_read = self.loop.turns, False  # whether a message ended in that turn
+        self.turn, self.events_left = self.loop.turns, EVENTS_PER_TURN
         self.needs_data = True  # h11 has nothing to return before it is given more bytes
         self.deferred = False  # the last read stopped because the share of its turn was used
 
@@ -45,8 +46,9 @@
         After ``DEFERRED`` the running task resumes in the next turn of the loop by itself.
         """
         if self.turn != self.loop.turns:
-            self.turn, self.message_read, self.deferred = self.loop.turns, False, False
-        while not self.message_read:
+            self.turn, self.events_left, self.deferred = self.loop.turns, EVENTS_PER_TURN, False
+        while self.events_left > 0:
+            self.events_left -= 1
             if self.needs_data and self.stream.incoming:
                 self.http.receive_data(self.stream.take_piece(PIECE_BYTES))
             event = self.parse_event()
@@ -62,5 +64,5 @@
 
     def end_message(self) -> None:
         """End the connection's share of this turn: a message is complete, and the next one waits for its turn."""
-        self.message_read = True
+        self.events_left = 0
         self.needs_data = not self.http.trailing_data[0]
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -3,18 +3,31 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import socket
 import unittest
 from typing import Any
 
+from petrelhall.boxes.discovery import DiscoveryWatch
 from petrelhall.gateway import front
+from petrelhall.http import h1, room
 from petrelhall.net.stream import READ_CHUNK_BYTES
-from tests.peers import build_request
+from tests.peers import build_request, build_response, format_address, open_listener, server_entry
 from tests.test_moments import HEALTH_REQUEST, GatewayPartsTestCase
 
 PIPELINED_REQUESTS = 60
+SMALL_CHUNKS = 1000
+EVENTS_PER_TURN = 32  # of one connection
 UNKNOWN_CLASS_REQUEST = build_request(kind="no-such-class")
 UNKNOWN_PATH_REQUEST = b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n"
+CHUNKED_BODY = b"1\r\nx\r\n" * SMALL_CHUNKS + b"0\r\n\r\n"
+CHUNKED_ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKED_BODY
+
+
+def build_post(*trailing: bytes, **headers: str) -> bytes:
+    """Build a POST of the keyed class, followed by its body."""
+    head = build_request(kind="change", Idempotency_Key="k", **headers)
+    return head.replace(b"GET", b"POST", 1) + b"".join(trailing)
 
 
 class FairnessTestCase(GatewayPartsTestCase):
@@ -113,5 +126,73 @@
         self.assertTrue(answers.endswith(b"ready\n"))
 
 
+class SmallChunksTest(FairnessTestCase):
+    """A body in very small chunks is parsed a few chunks at a time."""
+
+    # Guards against: bodies in chunks of one byte, sent at full speed, hold up all usual clients for seconds.
+    def test_a_request_body_in_small_chunks_waits_its_turn_and_arrives_whole(self) -> None:
+        gateway_listener = self.start_gateway()
+        flood = self.client(build_post(CHUNKED_BODY, Transfer_Encoding="chunked"))
+        usual = self.client(HEALTH_REQUEST)
+        turns = self.turns_until_received(usual, b"ready")
+        most_received = max(client.http.body_received for client in gateway_listener.clients)
+        self.assertLessEqual(most_received, EVENTS_PER_TURN * turns)
+        server = self.accept()
+        self.read(server, b"\r\n\r\n" + b"x" * SMALL_CHUNKS)
+        server.sendall(build_response(b"ok"))
+        self.read(flood, b"ok")
+
+    def test_a_streamed_request_body_in_small_chunks_waits_its_turn(self) -> None:
+        self.patch(h1, SMALL_BODY_BYTES=10)
+        self.patch(room, MAX_BUFFERED_BODY_BYTES=10)
+        self.start_gateway()
+        self.client(build_post(CHUNKED_BODY, Transfer_Encoding="chunked"))
+        self.read(self.accept(), b"\r\n0\r\n\r\n")
+        self.assertGreaterEqual(self.turns, SMALL_CHUNKS // EVENTS_PER_TURN)
+
+    def check_answer(self, close: bool) -> None:
+        """Have a server answer in small chunks: the client gets all of it, a few chunks in each turn."""
+        self.start_gateway()
+        client = self.client(build_request())
+        server = self.accept()
+        self.read(server, b"\r\n\r\n")
+        server.sendall(CHUNKED_ANSWER)
+        if close:
+            server.close()
+        received = bytearray()
+        turns = self.turns_until(lambda: self.receive(client, received).count(b"x") == SMALL_CHUNKS)
+        self.assertGreaterEqual(turns, SMALL_CHUNKS // EVENTS_PER_TURN)
+        self.assertTrue(received.startswith(b"HTTP/1.1 200"), received[:100])
+
+    # Guards against: a server's answer in very small chunks holds up all clients.
+    def test_an_answer_in_small_chunks_waits_its_turn(self) -> None:
+        self.check_answer(close=False)
+
+    def test_an_answer_in_small_chunks_before_a_close_is_served_whole(self) -> None:
+        self.check_answer(close=True)
+
+    def test_a_streamed_answer_in_small_chunks_waits_its_turn(self) -> None:
+        self.patch(h1, SMALL_BODY_BYTES=10)
+        self.pool.body_budget = room.BodyBudget(64.0)
+        self.check_answer(close=False)
+
+    def test_a_list_of_servers_in_small_chunks_waits_its_turn_and_is_applied(self) -> None:
+        with open_listener() as discovery:
+            watch = DiscoveryWatch(
+                self.loop, discovery.getsockname(), self.registry, lambda update: None, self.counts, print
+            )
+            self.addCleanup(watch.task.steps.close)
+            self.loop.turn()
+            agent = self.stack.enter_context(discovery.accept()[0])
+        agent.setblocking(False)
+        self.read(agent, b"\r\n\r\n")
+        entries = [server_entry(f"new-{n}", format_address(self.server)) for n in range(10)]
+        listing = json.dumps({"version": 5, "full": True, "servers": entries}).encode()
+        chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in listing)
+        agent.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n")
+        turns = self.turns_until(lambda: self.registry.version == 5)
+        self.assertGreaterEqual(turns, len(listing) // EVENTS_PER_TURN)
+
+
 if __name__ == "__main__":
     unittest.main()
