Framed connections: 16 frames of a connection in each turn of the loop

What callers saw: nothing in `run`, where distribution is off. A peer that sends thousands of small frames at once held up all others of a distributor or replica: all that one read brings were passed on in one call.

Cause: FrameConnection.read_frames had no bound; a frame needs 4 bytes, so a read may hold 16,000. The same kind as many requests sent at once (docs/incidents/2026-12-04-pipelined-requests.md), on a related path.

Change: after 16 frames the rest waits for the next turn, and the socket with it; a close is told after the last frame. It works as for requests: a turn holds one share of each connection.

--- a/petrelhall/net/frames.py
+++ b/petrelhall/net/frames.py
@@ -14,6 +14,7 @@
 
 HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 4 << 20
+FRAMES_PER_TURN = 16  # of one connection, passed on in one turn of the loop
 MAX_UNSENT_BYTES = 16 << 20  # beyond this, the peer is taken to have stopped reading
 LISTEN_BACKLOG = 1024
 
@@ -35,6 +36,8 @@
         self.stream: Stream | None = None
         self.buffer = bytearray()
         self.closed = False
+        self.turn, self.frames_left = loop.turns, FRAMES_PER_TURN
+        self.deferred = False  # the rest of the buffer is read in the next turn of the loop
 
     def send(self, content: bytes) -> None:
         """Send a frame; frames that cannot be sent are lost with the connection."""
@@ -53,17 +56,33 @@
         if self.on_open is not None and not stream.connecting and not stream.ended:
             on_open, self.on_open = self.on_open, None
             on_open()
+        if self.deferred:
+            return
         if stream.incoming:
             self.buffer += stream.take()
             self.read_frames(stream)
-        if stream.ended and not self.closed:
+        if stream.ended and not self.closed and not self.deferred:
             self.close()
             self.on_close()
 
+    def resume_reading(self) -> None:
+        """Go on reading in a later turn."""
+        self.deferred = False
+        if not self.closed and self.stream is not None:
+            self.read_frames(self.stream)
+            self.on_change()
+
     def read_frames(self, stream: Stream) -> None:
-        """Pass all complete frames in the buffer to ``on_frame``."""
+        """Pass the complete frames in the buffer to ``on_frame``: FRAMES_PER_TURN now, the others in later turns."""
+        if self.turn != self.loop.turns:
+            self.turn, self.frames_left = self.loop.turns, FRAMES_PER_TURN
         start = 0
         while len(self.buffer) - start >= HEADER.size and not self.closed:
+            if not self.frames_left:
+                self.deferred = True
+                self.loop.after(0.0, self.resume_reading)
+                break
+            self.frames_left -= 1
             (size,) = HEADER.unpack_from(self.buffer, start)
             if size > MAX_FRAME_BYTES:
                 stream.end(errno.EPROTO)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -8,7 +8,14 @@
 
 import pytest
 
-from petrelhall.net.frames import HEADER, MAX_FRAME_BYTES, MAX_UNSENT_BYTES, FrameListener, connect
+from petrelhall.net.frames import (
+    FRAMES_PER_TURN,
+    HEADER,
+    MAX_FRAME_BYTES,
+    MAX_UNSENT_BYTES,
+    FrameListener,
+    connect,
+)
 from petrelhall.net.loop import Loop
 
 TIMEOUT_S = 10.0
@@ -98,6 +105,26 @@
     assert [content for _, content in peers.frames] == [b"one", b"", b"three"] * 3
 
 
+# Guards against: a peer that sends thousands of small frames at once holds up all others.
+def test_a_flood_of_frames_waits_its_turn_and_is_received_whole_before_its_close(peers: FramePeers) -> None:
+    with peers.connect_socket() as flood, socket.create_connection(peers.listener.address, TIMEOUT_S) as usual:
+        peers.run_until(lambda: len(peers.listener.connections) == 2)
+        flood.sendall(framed(b"") * 1000)
+        usual.sendall(framed(b"usual"))
+        flood.close()
+        turns = 0
+
+        def is_received() -> bool:
+            nonlocal turns
+            turns += 1
+            return (2, b"usual") in peers.frames
+
+        peers.run_until(is_received)
+        assert len(peers.frames) - 1 <= FRAMES_PER_TURN * (turns - 1)
+        peers.run_until(lambda: peers.closed == [1])
+        assert len(peers.frames) == 1001
+
+
 def test_an_oversized_frame_closes_the_connection(peers: FramePeers) -> None:
     with peers.connect_socket() as sock:
         sock.sendall(framed(b"fine") + HEADER.pack(MAX_FRAME_BYTES + 1))
