Deadlines: a request that waits behind others loses the time since its own last byte came

What callers saw: a server was told 5,984 ms where its client had 5,500 left at most.

Cause: the wait before reading was counted from the bytes last read on the connection, so a request that waits behind another was taken to have come with whatever came later.

Change: a client's stream keeps for its last 64 reads the bytes received by then and their earliest arrival; a request's arrival is that of its end. It works since later reads no longer overwrite what earlier ones knew.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -210,6 +210,7 @@
         stream = Stream(self.loop, sock, lambda: None)
         stream.end_on_peer_close, stream.max_unread = True, READ_CHUNK_BYTES
         stream.queued_since = self.queued_since
+        stream.record_arrivals()
         client = Client(stream, self.body_budget, self.codec.parse_request)
         self.clients.add(client)
         client.stream.notify = self.loop.spawn(self.serve_client(client)).wake
@@ -289,7 +290,8 @@
         else:
             request = self.codec.parse_request(received) if isinstance(received, HttpRequest) else received
             if isinstance(request, Request) and isinstance(received, HttpRequest) and received.streaming_body is None:
-                request = subtract_queueing_time(request, now_ms() - client.stream.earliest_arrival_at)
+                arrived_at = client.stream.earliest_arrival_of(client.http.request_end)
+                request = subtract_queueing_time(request, now_ms() - arrived_at)
             if isinstance(request, Request) and request.remaining_ms > self.answer_by - now_ms():
                 request = replace(request, remaining_ms=max(1.0, self.answer_by - now_ms()))
             if isinstance(request, Request) and request.request_id in self.request_ids:
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -142,6 +142,7 @@
         "check_head",
         "reserved",
         "body_received",
+        "request_end",
     )
 
     def __init__(
@@ -157,6 +158,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
         self.reserved = self.body_received = 0  # bytes reserved in the budget for this body; bytes of it received
+        self.request_end = 0  # bytes of the connection up to the end of the request that was last complete
 
     def read_request(self) -> HttpRequest | HttpError | None:
         """Return the next request once it is complete, or once its body has to be streamed.
@@ -232,7 +234,7 @@
         self.body.clear()
         self.head = None
         if not streamed:
-            self.reader.end_message()
+            self.request_end = self.reader.end_message()
         return message
 
     def build_request(self, body: bytes, streaming_body: StreamingBody | None) -> HttpRequest:
--- a/petrelhall/http/reader.py
+++ b/petrelhall/http/reader.py
@@ -93,10 +93,12 @@
         if len(incomplete) >= MAX_BLANKS and BLANKS in incomplete.replace(b"\t", b" "):
             raise h11.RemoteProtocolError("too many blanks in a head", BAD_REQUEST_STATUS)
 
-    def end_message(self) -> None:
-        """End the connection's share of this turn: a message is complete, and the next one waits for its turn."""
+    def end_message(self) -> int:
+        """End the connection's share of this turn, since a message is complete; return the bytes up to its end."""
+        left_over = len(self.http.trailing_data[0])
         self.events_left = self.data_left = 0
-        self.needs_data = not self.http.trailing_data[0]
+        self.needs_data = not left_over
+        return self.stream.received - len(self.stream.incoming) - left_over
 
 
 def piece_size(incoming: bytearray) -> int:
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -6,6 +6,7 @@
 import select
 import socket
 import struct
+from collections import deque
 from collections.abc import Callable
 
 from petrelhall.net.loop import Loop, now_ms
@@ -17,6 +18,7 @@
 POLL_MAX_AGE_MS = 20.0  # older results of epoll are checked again before an attempt is begun
 DISCARD_BUFFER = bytearray(1 << 20)  # argument for MSG_TRUNC: the kernel drops the bytes and writes nothing here
 READ_EVENTS = select.EPOLLIN | select.EPOLLRDHUP
+MAX_ARRIVALS = 64  # reads whose times are kept, of a stream with ``record_arrivals``
 
 RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 SOCKET_FLAGS = socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC
@@ -47,6 +49,7 @@
         "registered_at",
         "queued_since",
         "earliest_arrival_at",
+        "arrivals",
     )
 
     def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object], connecting: bool = False) -> None:
@@ -62,6 +65,7 @@
         self.registered_at = now_ms()
         self.queued_since = self.registered_at  # it reached the listener no earlier than this (Unix ms)
         self.earliest_arrival_at = self.registered_at  # the bytes last read arrived no earlier than this (Unix ms)
+        self.arrivals: deque[tuple[int, float]] | None = None  # bytes received by a read, and their earliest arrival
         self.mask = select.EPOLLOUT if connecting else READ_EVENTS
         loop.register(self.fd, self.mask, self.on_ready)
 
@@ -134,9 +138,27 @@
         # Data received with or before the registration may have waited for as long as the connection itself.
         new = self.registered_at >= self.loop.previous_poll_at
         self.earliest_arrival_at = self.queued_since if new else self.loop.earliest_ready_at
+        if self.arrivals is not None:
+            self.arrivals.append((self.received, self.earliest_arrival_at))
         if len(self.incoming) > self.max_unread:
             self.watch()
 
+    def record_arrivals(self) -> None:
+        """Keep the times of reads, for ``earliest_arrival_of``."""
+        self.arrivals = deque(maxlen=MAX_ARRIVALS)
+
+    def earliest_arrival_of(self, end: int) -> float:
+        """Return the time (Unix ms) before which the first ``end`` bytes of the connection were not all here.
+
+        Later calls ask for later bytes.
+        """
+        arrivals = self.arrivals
+        if not arrivals:
+            return self.earliest_arrival_at
+        while len(arrivals) > 1 and arrivals[0][0] < end:
+            arrivals.popleft()
+        return arrivals[0][1]
+
     def take(self, max_bytes: int | None = None) -> bytes:
         """Return and remove the bytes received and not yet read, or the first of them."""
         data = bytes(self.incoming[:max_bytes])
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -352,6 +352,22 @@
         self.loop.turn()
         self.assertLessEqual(self.forwarded_deadline_ms(), 4500.0)
 
+    # Guards against: a server is told more time than is left, if later bytes came while a request waited for its turn.
+    def test_the_forwarded_deadline_excludes_the_wait_behind_another_request(self) -> None:
+        self.patch(reuse, REUSE_DELAY_MS=0.0)
+        self.start_gateway()
+        client = self.client(build_request(1) + build_request(2))
+        server = self.accept()
+        self.read(server, b"\r\n\r\n")
+        answer_at = now_ms() + 500.0
+        self.turn_until(lambda: now_ms() >= answer_at)
+        client.sendall(build_request(3))
+        self.loop.turn()
+        server.sendall(build_response(b"one"))
+        head = self.read(server, b"\r\n\r\n").lower()
+        self.assertIn(b"x-request-id: 0000000000000002", head)
+        self.assertLessEqual(float(head.partition(b"x-deadline: ")[2].partition(b"m")[0]), 5500.0)
+
     def test_data_that_arrives_while_the_loop_is_polling_has_not_waited(self) -> None:
         far, near = socket.socketpair(socket.AF_UNIX)
         loop = Loop(self.log_lines.append)
