Closes: what came behind a request is read before it begins, so that a flood hides no close

What callers saw: a server was asked for a client that had closed right behind its request and a flood.

Cause: a close behind more than the kernel holds is seen once the flood is read, and that began only with the request in hand; its first attempt had begun by then. Reads that pause for a turn leave more there.

It works since dropping the flood lets the rest and the close come before the request is decided on.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -112,6 +112,13 @@
         self.busy = True
         self.stream.max_unread, self.stream.drop_excess = MAX_UNREAD_BYTES, True
 
+    def look_behind_request(self) -> None:
+        """Read what came behind the request as far as a close: a flood must not hide that the client has left."""
+        received = -1
+        while self.stream.incoming and not self.stream.ended and self.stream.received > received:
+            received = self.stream.received
+            self.stream.poll()
+
     def end_request(self) -> None:
         """Leave what the client sends from now on in the kernel until it is read."""
         self.busy, self.answered, self.request_started, self.idle_since = False, True, False, now_ms()
@@ -305,6 +312,8 @@
                 answer = request
             else:
                 body_rest = received.streaming_body if isinstance(received, HttpRequest) else None
+                if body_rest is None:
+                    client.look_behind_request()
                 self.request_ids.add(request.request_id)
                 if body_rest is not None:
                     self.start_streaming_body(client, body_rest)
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -315,6 +315,18 @@
                 self.assertEqual(self.counts.get("taken", "requests"), 0)
                 self.assertEqual(self.plan.open, 0)
 
+    # Guards against: a request begins whose client has closed behind a flood larger than what the kernel holds.
+    def test_a_request_whose_client_closed_behind_a_flood_is_not_begun(self) -> None:
+        gateway_listener = self.start_gateway()
+        gateway_listener.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+        client = self.client()
+        client.settimeout(WAIT_TIMEOUT_S)
+        client.sendall(build_request() + HEALTH_REQUEST * 10000)  # more than the gateway's side of the kernel holds
+        client.close()
+        self.turn_until(lambda: self.counts.get("taken", "requests"))
+        self.turn_until(lambda: self.counts.get("answered", "client_left"))
+        self.assertEqual(self.counts.get("connections", "to_servers"), 0)  # no attempt was begun
+
     def test_a_waiting_client_is_answered_when_an_eviction_happens_in_the_iteration_of_its_accept(self) -> None:
         self.start_gateway(max_connections=1)
         client = self.client(HEALTH_REQUEST)
