Reuse of connections: the rest after an answer holds near the idle limit too

Cause: ReusePolicy.pick uses the longest idle connection early where half of the server's idle limit is over, and did not ask there whether it still rests. Resets under requests teach limits of 20 to 40 ms, so that it was used again after 10.

Evidence: the case fails with copies and resets only; the new test in test_moments.py (a rest of 5 s, a limit of 6 s, a connection idle for 3.5 s) failed before: the second request was written at once.

Change: both branches ask is_resting. It works since no used connection is written to before a copy that is some milliseconds late has come, whatever its server's idle limit.

--- a/petrelhall/links/reuse.py
+++ b/petrelhall/links/reuse.py
@@ -48,7 +48,8 @@
             oldest = server.idle[0]
             idle_ms = now - oldest.idle_since
             if (
-                idle_ms > REFRESH_SHARE * max_idle_ms
+                not is_resting(now, oldest)
+                and idle_ms > REFRESH_SHARE * max_idle_ms
                 and idle_ms < safe_idle_ms
                 and server.open <= max(server.peak_in_use, server.previous_peak_in_use)
                 and now < oldest.expires_at
@@ -61,7 +62,7 @@
         else:
             candidates = sorted(server.idle, key=lambda record: record.uses)
         for record in candidates:
-            if record.uses and now - record.idle_since < REUSE_DELAY_MS:
+            if is_resting(now, record):
                 continue
             if now >= record.expires_at:
                 self.inventory.retire(record, "age")
@@ -88,3 +89,8 @@
         left = REUSE_DELAY_MS - (now - server.idle[-1].idle_since) if server.idle and server.idle[-1].uses else 0.0
         often = server.rest_waits >= MAX_REUSE_WAITS and server.open + 1 <= server.bound
         return max(1.0, left) if 0.0 < left and wait_ms > REUSE_DELAY_MS and not often else 0.0
+
+
+def is_resting(now: float, record: ConnectionRecord) -> bool:
+    """Return whether a second copy of a connection's last answer may still come."""
+    return record.uses > 0 and now - record.idle_since < REUSE_DELAY_MS
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -235,6 +235,29 @@
         # Does not count as evidence of the idle timeout of the server.
         self.assertFalse(self.plan.servers["s0"].unsettled_deaths)
 
+    # Guards against: after a server closed a connection early, a late second answer goes to another client (review/1).
+    def test_a_connection_close_to_its_idle_limit_is_not_reused_before_a_duplicate_response_can_come(self) -> None:
+        self.patch(reuse, REUSE_DELAY_MS=5000.0)
+        self.plan.settings = Links(wait_ms=6000.0)
+        self.start_attempt()
+        first = self.accept()
+        self.read(first, b"\r\n\r\n")
+        first.sendall(build_response(b"one"))
+        self.turn_until(lambda: self.results)
+        server = self.plan.servers["s0"]
+        server.provisional_idle_limit_ms = 6000.0  # as after a reset under a request on a connection that idle
+        server.idle[0].idle_since -= 3500.0  # over half of that, and not yet the reuse delay
+        self.start_attempt()
+        self.loop.turn()
+        with self.assertRaises(BlockingIOError):  # the second request is not written yet
+            first.recv(100)
+        first.sendall(build_response(b"one"))  # the duplicate
+        second = self.accept()
+        self.read(second, b"\r\n\r\n")
+        second.sendall(build_response(b"two"))
+        self.turn_until(lambda: len(self.results) == 2)
+        self.assertEqual([result.reply.body for result in self.results], [b"one", b"two"])
+
     def test_a_request_waits_for_reuse_no_longer_than_a_duplicate_response_may_be_late(self) -> None:
         self.start_attempt()
         first = self.accept()
