Slow readers: what the kernel takes of a large answer counts as progress, and its buffer is limited

Cause: stream_answer counted new bytes of the server as the client's progress. The kernel's send buffer grows to some MB and reports room when a third of it is sent, which takes longer than STALL_TIMEOUT_MS.

Evidence: the new test in test_moments.py (limit of 1 s, 400 kB/s, 8 MB) was reset before.

Change: SO_SNDBUF of a connection with an answer passed on is 128 KiB, and less unsent bytes are progress.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -49,6 +49,9 @@
 MIN_QUEUEING_MS = 20.0
 SEND_TIMEOUT_MS = 10000.0  # a client must have read its answer by then
 STALL_TIMEOUT_MS = 4000.0  # a streamed answer must make progress within this time, from the server and to the client
+# What the kernel may hold of a streamed answer. It reports room for more once a third of that is sent, which a client
+# that reads slowly but steadily has to reach within STALL_TIMEOUT_MS.
+STREAM_SEND_BUFFER_BYTES = 131072
 # A streamed answer may take STREAM_TIMEOUT_MS plus the time that its bytes take at 4 kB/s, so that an answer that
 # trickles in endlessly is cut off.
 STREAM_TIMEOUT_MS = 30000.0
@@ -389,6 +392,7 @@
         """
         answer.claimed = True
         self.body_budget.active_streams += 1
+        client.stream.limit_send_buffer(STREAM_SEND_BUFFER_BYTES)
         source, wake = answer.source, self.loop.this_task().wake
         source.stream.notify, source.stream.max_unread = wake, self.body_budget.bytes_per_stream
         content_type = answer.headers.get(b"content-type")
@@ -396,7 +400,7 @@
         client.http.send_head(
             answer.status, [(b"Content-Type", content_type)] if content_type else [], answer.length, last
         )
-        data, complete, keep_alive = answer.first_bytes, False, False
+        data, complete, keep_alive, unsent = answer.first_bytes, False, False, 0
         stalled_at, expires_at = now_ms() + STALL_TIMEOUT_MS, now_ms() + STREAM_TIMEOUT_MS
         timer = self.loop.at(stalled_at, wake)
         try:
@@ -409,7 +413,12 @@
                     timer = self.loop.at(stalled_at, wake)
                     if complete:
                         return keep_alive
-                if len(client.stream.outgoing) < self.body_budget.bytes_per_stream:
+                elif len(client.stream.outgoing) < unsent:
+                    stalled_at = now_ms() + STALL_TIMEOUT_MS
+                    timer.cancel()
+                    timer = self.loop.at(stalled_at, wake)
+                unsent = len(client.stream.outgoing)
+                if unsent < self.body_budget.bytes_per_stream:
                     part = source.read_body()
                     if isinstance(part, HttpError):
                         break
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -178,6 +178,13 @@
             if not self.connecting:
                 self.flush()
 
+    def limit_send_buffer(self, size: int) -> None:
+        """Limit how much the kernel holds to be sent, which otherwise grows to some MB."""
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+        except OSError:
+            pass  # already disconnected
+
     def flush(self) -> None:
         """Send the buffered bytes."""
         while self.outgoing and not self.ended:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -455,6 +455,35 @@
         self.assertAlmostEqual(module.customers["00000000b4d65521"].shared_bucket, 1000.0, places=0)
 
 
+class SlowReaderTest(GatewayPartsTestCase):
+    """Large answers to clients that read slowly."""
+
+    # Guards against: a large answer to a client that reads slowly, and all the time, is reset (review/3).
+    def test_a_client_that_reads_slowly_and_steadily_gets_a_large_answer_whole(self) -> None:
+        self.patch(front, STALL_TIMEOUT_MS=1000.0)
+        self.start_gateway()
+        client = self.client(build_request())
+        server = self.accept()
+        self.read(server, b"\r\n\r\n")
+        server.settimeout(WAIT_TIMEOUT_S)
+        body = bytes(range(256)) * 32768
+        sender = threading.Thread(target=server.sendall, args=(build_response(body),))
+        sender.start()
+        self.stack.callback(sender.join)
+        received, started_at = bytearray(), now_ms()
+
+        def read_steadily() -> bool:
+            elapsed_ms = now_ms() - started_at
+            allowed = int(400.0 * elapsed_ms) if elapsed_ms < 3000.0 else 2 * len(body)  # bytes; then at full speed
+            with contextlib.suppress(BlockingIOError):
+                while len(received) < allowed and (data := client.recv(65536)):
+                    received.extend(data)
+            return len(received) >= len(body)
+
+        self.turn_until(read_steadily)
+        self.assertTrue(received.endswith(body))
+
+
 class ConnectionCloseTest(GatewayPartsTestCase):
     """Connections that the gateway closes while the other side is still sending."""
 
