Read again: one place renews the stall limit, one logs the totals, one copy in take

Change, no behaviour: stream_answer wrote the renewal of its stall limit twice, for new bytes and for what the kernel took; both are now one case of progress. The exit and SIGUSR1 share log_totals. Stream.take copied its bytes twice since it can take a part. Two docstrings said less than the code does.

--- a/benchmarks/greedy_peers.py
+++ b/benchmarks/greedy_peers.py
@@ -85,7 +85,7 @@
 
 
 async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answer requests without a body as a server does; others are not read to their end here."""
+    """Answer each request after a while; the gateway sends small bodies with their length."""
     with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
         while True:
             head = await reader.readuntil(b"\r\n\r\n")
--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -123,7 +123,7 @@
             self.stream.poll()
 
     def end_request(self) -> None:
-        """Leave what the client sends from now on in the kernel until it is read."""
+        """Wait for the next request; what the client sends beyond a read waits in the kernel until then."""
         self.busy, self.answered, self.request_started, self.idle_since = False, True, False, now_ms()
         self.expires_at, self.bytes_before_request = self.idle_since + IDLE_TIMEOUT_MS, self.stream.received
         self.stream.max_unread, self.stream.drop_excess = READ_CHUNK_BYTES, False
@@ -405,15 +405,14 @@
         timer = self.loop.at(stalled_at, wake)
         try:
             while not client.gone:
+                progress = bool(data) or complete or len(client.stream.outgoing) < unsent
                 if data or complete:
                     keep_alive = client.http.send_body(data, complete)
-                    expires_at += len(data) * STREAM_MS_PER_BYTE
-                    data, stalled_at = b"", now_ms() + STALL_TIMEOUT_MS
-                    timer.cancel()
-                    timer = self.loop.at(stalled_at, wake)
                     if complete:
                         return keep_alive
-                elif len(client.stream.outgoing) < unsent:
+                    expires_at += len(data) * STREAM_MS_PER_BYTE
+                    data = b""
+                if progress:
                     stalled_at = now_ms() + STALL_TIMEOUT_MS
                     timer.cancel()
                     timer = self.loop.at(stalled_at, wake)
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -405,17 +405,20 @@
         self.loop.run()
         # The exit has begun: another SIGTERM would kill the process during the interpreter's own shutdown.
         signal.signal(signal.SIGTERM, signal.SIG_IGN)
-        self.log.write(str(self.counts))
-        self.log.write(f"loop: {self.loop.turns} turns, {self.loop.turn_times}")
+        self.log_totals()
         for line in self.pool.describe()[:1] + (self.traffic_shifter.describe() if self.traffic_shifter else []):
             self.log.write(line)
 
+    def log_totals(self) -> None:
+        """Log the counters and how long the turns of the loop took, since the start."""
+        self.log.write(str(self.counts))
+        self.log.write(f"loop: {self.loop.turns} turns, {self.loop.turn_times}")
+
     def on_signals(self, numbers: bytes) -> None:
         """Log the counters on SIGUSR1, reload on SIGHUP, and begin the shutdown on SIGTERM or SIGINT."""
         for number in numbers:
             if number == signal.SIGUSR1:
-                self.log.write(str(self.counts))
-                self.log.write(f"loop: {self.loop.turns} turns, {self.loop.turn_times}")
+                self.log_totals()
                 for line in self.pool.describe() + (self.traffic_shifter.describe() if self.traffic_shifter else []):
                     self.log.write(line)
             elif number == signal.SIGHUP:
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -161,7 +161,7 @@
 
     def take(self, max_bytes: int | None = None) -> bytes:
         """Return and remove the bytes received and not yet read, or the first of them."""
-        data = bytes(self.incoming[:max_bytes])
+        data = bytes(memoryview(self.incoming)[:max_bytes])  # a slice of the buffer itself would be copied twice
         del self.incoming[:max_bytes]
         self.watch()
         return data
