--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Case 10: a planned restart. What the process had taken before SIGTERM has to get its whole answer before it ends."""
+"""Case 10: discovery is slow just after a new configuration moved it. Drains are kept all the same."""
 
 import asyncio
 import signal
@@ -6,56 +6,54 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "harness-2"))
-from world import SETTINGS, TROUBLE, Attempt, Client, Discovery, Server, World, play  # noqa: E402
+from world import SETTINGS, SLACK_MS, TROUBLE, Client, Discovery, Server, World, play  # noqa: E402
 
-PIECE, PIECES, PAUSE_S = 8192, 64, 0.125  # 512 KiB at 64 KiB/s, in small pieces: 8 s, no pause near 2 s
-SIGKILL_S = 20.0  # "no sooner than the longest deadline (counted as 3 s where it is longer) and 0.7 s more"
-CLIENTS = 4
-
-
-async def large_answer(server: Server, attempt: Attempt) -> None:
-    attempt.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (PIECE * PIECES))
-    for number in range(PIECES):
-        attempt.writer.write(bytes([number]) * PIECE)
-        await attempt.writer.drain()
-        await asyncio.sleep(PAUSE_S)
-    server.record(server.name, f"gave all of its answer to {attempt.id}")
+SLOW_MS = 700.0  # that discovery takes for each answer, after the move
+SIGHUP_MS, KNOWN_MS = 4000.0, 6000.0  # counts as told so long after SIGHUP, and after discovery has it
+GRACE_MS = SETTINGS["Rules"]["DrainGraceMs"]
 
 
 async def case(world: World) -> list[str]:
     record = world.record
-    servers = [await Server(f"s-{n}", record, behave=large_answer).start() for n in range(3)]
-    discovery = await Discovery(record, servers).start()
-    gateway = world.gateway(discovery, SETTINGS)
-    process = gateway.start()
+    servers = [await Server(f"s-{n}", record).start() for n in range(4)]
+    first = await Discovery(record, list(servers)).start()
+    gateway = world.gateway(first, SETTINGS | {"MembershipMode": "subscribe"})
+    gateway.start()
     await gateway.until_ready()
+    second = await Discovery(record, list(servers), SLOW_MS if TROUBLE else 0.0).start()
+    second.version = 1000
+    asking = True
+    client = await Client(world, gateway.address).open()
+    number = 0
+
+    async def ask() -> None:
+        nonlocal client, number
+        while asking:
+            if client.closed:
+                client = await Client(world, gateway.address).open()
+            number += 1
+            await client.ask(f"request-{number}")
+            await asyncio.sleep(0.03)
+
+    asker = asyncio.create_task(ask())
     await asyncio.sleep(2.0)
-
-    async def ask(number: int) -> str:
-        name = f"large-{number}"
-        client = await Client(world, gateway.address).open()
-        status, body, sent, ended = await client.ask(name, "check-conflicts", deadline_ms=2500)
-        if status == "200" and body != b"".join(bytes([n]) * PIECE for n in range(PIECES)):
-            return f"{name}: served with something else"
-        if status.isdigit():
-            return ""
-        return f"{name}: sent at {sent:.0f}, got no whole answer ({status}, at {ended:.0f})"
-
-    asks = [asyncio.create_task(ask(number)) for number in range(CLIENTS)]
-    await asyncio.sleep(1.0)
-    ended_by_itself = True
-    if TROUBLE:
-        gateway.signal(signal.SIGTERM)
-        until = record.ms() + SIGKILL_S * 1000.0
-        while process.poll() is None and record.ms() < until:
-            await asyncio.sleep(0.02)
-        if process.poll() is None:  # what SIGKILL finds of requests before SIGTERM is no break
-            ended_by_itself = False
-            gateway.signal(signal.SIGKILL)
-        else:
-            record("n0", f"the process has ended by itself with {process.returncode}")
-    found = await asyncio.gather(*asks)
-    return [line for line in found if line and (ended_by_itself or "something else" in line)]
+    gateway.config["discovery"] = second.address
+    gateway.write()
+    sighup = gateway.signal(signal.SIGHUP)
+    first.listener.close()  # accepts no new connection, and closes the open ones after 1.5 s
+    await asyncio.sleep(1.5)
+    first.down()
+    await asyncio.sleep(0.5)
+    drained = servers[0]
+    known = await second.change(drained, "Terminating")
+    told = max(sighup + SIGHUP_MS, known + KNOWN_MS)
+    record("case", f"{drained.name} counts as told at {told:.0f} at the latest, the grace ends at {told + GRACE_MS:.0f}")
+    await asyncio.sleep((told + GRACE_MS + 6000.0 - record.ms()) / 1000.0)
+    asking = False
+    await asker
+    late = [a for a in drained.attempts if a.first_byte > told + GRACE_MS + SLACK_MS]
+    record("case", f"{len(late)} of {number} requests went to {drained.name} too late")
+    return [f"drain: {a.id} sent to {a.server.name} {a.first_byte - told:.0f} ms after it counts as told" for a in late]
 
 
 if __name__ == "__main__":
