--- a/review/harness-2/world.py
+++ b/review/harness-2/world.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -322,7 +323,7 @@
                              else await self.call("GET", "/healthz"))
                 if 200 <= status < 300:
                     return self.world.record(self.config["name"], "said yes" if self.mgmt else "answered healthz 200")
-            except (OSError, asyncio.TimeoutError):
+            except (OSError, EOFError, TimeoutError):
                 pass
             await asyncio.sleep(0.02)
         raise CannotRun(f"gateway {self.number} was not ready in {limit_s} s")
@@ -441,6 +442,9 @@
         if world is not None:
             world.record("case", f"could not run: {error!r}")
         return 2
+    except Exception:  # a fault of the case itself must not be taken for a broken rule
+        traceback.print_exc()
+        return 2
     finally:
         if world is not None:
             world.end()
