--- a/review/harness-2/world.py
+++ b/review/harness-2/world.py
@@ -428,6 +428,7 @@
 def play(case: Callable[[World], Awaitable[list[str]]], folder: Path, limit_s: float = 110.0) -> int:
     """Play a case, print and record its verdict, and return the exit code: 0 held, 1 broken, 2 could not run."""
     world = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that `end` below ends the gateways then as well
     sys.unraisablehook = lambda *_: None  # connections that are still open when the loop has ended
     try:
         world = World(folder)
