A request given up, or a repeat past its window, is no longer delivered by the kernel

Cause: write_by was checked once, before the first byte; the kernel took the body at once and delivered it as the slow server read. The same on each attempt given up while the kernel held some of it: a plain close delivers the rest. Change: an attempt that is given up resets its connection if bytes are unacknowledged (TIOCOUTQ); a repeat that is not delivered at write_by is given up and counts as one that may have run. Both ask the kernel only on a close or a repeat.

--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -93,7 +93,7 @@
         """Make one attempt within its deadline; no more I/O of the attempt follows its result.
 
         ``repeatable``: the request may safely run twice. ``write_by``: latest time (Unix ms) at which it may be
-        written, however long it waited for a connection.
+        written, however long it waited for a connection, and by which it must have been delivered.
         """
         if now_ms() >= deadline:
             return AttemptResult(Ending.MOOT, AttemptProgress.UNWRITTEN, "no time left")
@@ -136,7 +136,9 @@
                 deadline = body_sent_at + timeout_ms
                 timers.append(self.loop.at(deadline, stream.notify))
             request_written = True
-            result = yield from self.read_response(connection, deadline, is_cancelled)
+            if write_by < deadline and stream.has_undelivered_bytes():
+                timers.append(self.loop.at(write_by, stream.notify))
+            result = yield from self.read_response(connection, deadline, is_cancelled, write_by)
             if body_sent_at:
                 result = replace(result, body_sent_at=body_sent_at)
             if isinstance(result.reply, StreamingResponse):
@@ -352,9 +354,13 @@
         return None
 
     def read_response(
-        self, connection: Connection, deadline: float, is_cancelled: Callable[[], bool]
+        self, connection: Connection, deadline: float, is_cancelled: Callable[[], bool], deliver_by: float = NEVER
     ) -> Steps[AttemptResult]:
-        """Wait for the response; it counts only when complete."""
+        """Wait for the response; it counts only when complete.
+
+        A request that has not reached the server's machine as a whole at ``deliver_by`` (Unix ms) is given up: a
+        server that reads slowly would run it after its time.
+        """
         http, stream, record = connection.http, connection.http.stream, connection.record
         while True:
             reply = http.read_response()
@@ -405,6 +411,12 @@
                 return AttemptResult(ending, progress, reply.reason if reply else f"broken ({stream.error})")
             if is_cancelled():
                 return AttemptResult(Ending.CANCELLED, progress, "cancelled")
+            if now_ms() >= deliver_by:
+                deliver_by = NEVER
+                if stream.has_undelivered_bytes():
+                    # Bytes that are sent and not acknowledged may have arrived: the request may run.
+                    ending = Ending.CANCELLED if progress else Ending.MOOT
+                    return AttemptResult(ending, progress, "not delivered in time to be sent again")
             if now_ms() >= deadline:
                 if not http.head:
                     self.plan.on_response_timeout(now_ms(), record)
@@ -421,7 +433,7 @@
         if record.state is ConnectionState.BUSY and self.plan.release(now_ms(), record, keep, cause):
             connection.http.stream.notify = lambda: self.on_idle_event(connection)
         else:
-            connection.http.stream.close()
+            connection.http.stream.give_up()
         if self.plan.closing:
             self.loop.after(0.0, self.close_retired)  # deferred: a handler may only close its own descriptor
         if self.waiters:
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import select
 import socket
 import struct
+import termios
 from collections import deque
 from collections.abc import Callable
 
@@ -20,6 +22,7 @@
 READ_EVENTS = select.EPOLLIN | select.EPOLLRDHUP
 MAX_ARRIVALS = 64  # reads whose times are kept, of a stream with ``record_arrivals``
 
+UNACKNOWLEDGED_BYTES = struct.Struct("i")  # the result of ioctl TIOCOUTQ
 RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 SOCKET_FLAGS = socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC
 
@@ -250,8 +253,31 @@
             pass  # already disconnected
         self.close()
 
+    def has_undelivered_bytes(self) -> bool:
+        """Return whether some of the bytes written here may not have reached the peer's machine yet.
+
+        The kernel counts what the peer has not acknowledged. Where it does not tell, only the bytes that are buffered
+        here count.
+        """
+        if self.outgoing:
+            return True
+        if self.sock.fileno() < 0:
+            return False
+        try:
+            unacknowledged = fcntl.ioctl(self.fd, termios.TIOCOUTQ, bytes(UNACKNOWLEDGED_BYTES.size))
+        except OSError:
+            return False
+        return bool(UNACKNOWLEDGED_BYTES.unpack(unacknowledged)[0])
+
+    def give_up(self) -> None:
+        """Close so that nothing more reaches the peer: a plain close still delivers what the kernel holds."""
+        if self.has_undelivered_bytes():
+            self.abort()
+        else:
+            self.close()
+
     def close(self) -> None:
-        """Close immediately and drop unsent bytes."""
+        """Close immediately and drop the bytes buffered here."""
         self.ended = True
         self.loop.unregister(self.fd)
         self.sock.close()
