After SIGTERM the process ends only when the answers that it passes on are whole

Cause: begin_shutdown stopped the loop at a fixed time, past every deadline; an answer that is passed on may take longer. Change: from that time on the loop stops once no client has a request in flight or an unsent answer. The limits on an answer's progress bound that; idle clients and those with a part of a request do not count.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -265,6 +265,11 @@
             if not client.busy and client.expires_at <= now:
                 client.stream.notify()
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a client has a request in flight or an answer that is not sent completely."""
+        return any(client.busy for client in self.clients)
+
     # Serving connections
 
     def serve_client(self, client: Client) -> Steps[None]:
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -47,7 +47,8 @@
     from petrelhall.gateway.shifting import TrafficShifter
 
 RESERVED_DESCRIPTORS = 40  # for everything but client and server connections, with some spare
-SHUTDOWN_MARGIN_MS = 2000.0  # after the last request's deadline, before the loop is stopped in any case
+SHUTDOWN_MARGIN_MS = 2000.0  # after the last request's deadline, before clients without a request are left
+SHUTDOWN_CHECK_INTERVAL_MS = 100.0  # from then on, between two checks for clients that still get an answer
 GC_THRESHOLD_OBJECTS = 20000  # net container allocations between two runs of the cycle collector
 CLIENT_SHARE = 0.6  # of the descriptors that are not reserved; server connections get the rest
 
@@ -475,8 +476,19 @@
                 self.membership.leave()
             longest_deadline_ms = max(request_class.deadline_ms for request_class in self.config.settings.classes)
             self.listener.stop(longest_deadline_ms)
-            # By then every accepted request is past its deadline: no client is waiting.
-            self.loop.after(LISTENER_CLOSE_DELAY_MS + longest_deadline_ms + SHUTDOWN_MARGIN_MS, self.loop.stop)
+            wait_ms = LISTENER_CLOSE_DELAY_MS + longest_deadline_ms + SHUTDOWN_MARGIN_MS
+            self.loop.after(wait_ms, self.stop_when_answered)
+
+    def stop_when_answered(self) -> None:
+        """Stop the loop once no client gets an answer any more.
+
+        By now every accepted request is past its deadline, but an answer that is passed on may take longer. The limits
+        on its progress end it, so that the process does not wait for ever.
+        """
+        if self.listener.is_answering:
+            self.loop.after(SHUTDOWN_CHECK_INTERVAL_MS, self.stop_when_answered)
+        else:
+            self.loop.stop()
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -752,6 +752,29 @@
         self.assertEqual(self.program.returncode, 0, log_output)
         self.assertIn("answered.cut_off_at_the_end=1", log_output)
 
+    # Guards against: after SIGTERM the process ends in the middle of a large answer that it passes on (review/8).
+    def test_an_answer_that_takes_longer_than_every_deadline_is_passed_on_whole_after_sigterm(self) -> None:
+        server = self.listener()
+        short = [kind | {"DeadlineMs": 500.0} for kind in TEST_SETTINGS["Grades"]]
+        self.start(server, settings=TEST_SETTINGS | {"Grades": short})
+        client = self.client(build_request())
+        unfinished = self.client(build_request(2)[:40])  # a client without a request does not keep the process
+        at_server = self.accept(server)
+        read_message(at_server)
+        at_server.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 163840\r\n\r\n")
+        self.program.send_signal(signal.SIGTERM)
+
+        def answer_slowly() -> None:
+            for _ in range(20):  # 5 s; without the answer the process would end 3.3 s after SIGTERM
+                at_server.sendall(b"x" * 8192)
+                time.sleep(0.25)
+
+        with self.run_alongside(answer_slowly):
+            self.assertTrue(read_message(client).endswith(b"\r\n\r\n" + b"x" * 163840))
+        unfinished.close()
+        _, log_output = self.program.communicate(timeout=WAIT_TIMEOUT_S)
+        self.assertEqual(self.program.returncode, 0, log_output)
+
     def test_idle_clients_at_the_descriptor_limit_leave_descriptors_for_discovery_and_servers(self) -> None:
         with open_listener() as free_port:
             discovery_address = free_port.getsockname()
