Slow answers of unknown length are passed on in time; a body's time counts from its last byte

Cause: an answer without a length was passed on only from 64 KiB on; a body that is passed on was given up only after 4 s without progress, as its last byte, long written into the kernels' buffers, was never seen. Change: one rule each. An answer of unknown length, served and not whole 100 ms after its head, or half of the time left, is passed on. A body's time counts from the earliest moment at which the client can have written the last byte (links/upload.py, pure). The test of a chunked body over the limit now takes a reset at the server for an end, as an attempt that is given up drops what the kernel holds since the last but one commit; what it asks of the client's answer is unchanged.

--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -61,6 +61,10 @@
             self.error = received
         return self.error
 
+    def is_drained(self) -> bool:
+        """Return whether all that the client has sent so far was read."""
+        return not self.source.reader.deferred and self.source.stream.is_open_and_quiet()
+
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
@@ -399,11 +403,11 @@
                     if length:
                         self.reader.expect_body(length)
                     if (length or 0) > max_bytes:
-                        return self.start_streaming(event, length)
+                        return self.start_streaming()
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > max_bytes:
-                        return self.start_streaming(self.head, content_length(self.headers))
+                        return self.start_streaming()
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                     head, self.head = self.head, None
                     return HttpResponse(head.status_code, self.headers, bytes(self.body))
@@ -414,14 +418,19 @@
         except h11.RemoteProtocolError as error:
             return HttpError(502, str(error))
 
-    def start_streaming(self, head: h11.Response | None, length: int | None) -> StreamingResponse | HttpError:
-        """Return the part of a large response received so far, the rest to be streamed."""
-        if head is None:
+    @property
+    def has_unknown_length(self) -> bool:
+        """Whether the head of a response has come that does not state the length of its body."""
+        return self.head is not None and b"content-length" not in self.headers
+
+    def start_streaming(self) -> StreamingResponse | HttpError:
+        """Return the part received so far of a response whose head has come, the rest to be streamed."""
+        if self.head is None:
             return HttpError(502, "no answer")
         first_bytes = bytes(self.body)
         self.streamed_bytes = len(first_bytes)
         self.body.clear()
-        return StreamingResponse(head.status_code, self.headers, first_bytes, length, self)
+        return StreamingResponse(self.head.status_code, self.headers, first_bytes, content_length(self.headers), self)
 
     def read_body(self) -> tuple[bytes, bool] | HttpError:
         """Return the bytes of a streaming response received since the last call and whether it is complete.
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -14,6 +14,7 @@
 from petrelhall.links.attempt import AttemptProgress, AttemptResult, RequestCodec
 from petrelhall.links.limits import NEVER
 from petrelhall.links.plan import ConnectFailure, ConnectionPlan, ConnectionRecord, ConnectionState, Unavailable, Wait
+from petrelhall.links.upload import UploadClock
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, Timer, describe, now_ms
 from petrelhall.net.stream import RESOURCE_ERRNOS, Address, connect
@@ -21,6 +22,9 @@
 TICK_MS = 100.0
 BODY_STALL_TIMEOUT_MS = 4000.0  # a server must read some of a pending body within this time
 BODY_POLL_INTERVAL_MS = 250.0  # interval for checking whether body bytes still arrive
+# An answer of unknown length is held back for so long after its head, or for half of the time left if that is shorter:
+# one that is complete by then, or breaks, needs no passing on. The first bytes of a large one have to be in time.
+MAX_HOLD_MS = 100.0
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout *= *\"?(\d{1,6})", re.ASCII | re.IGNORECASE)
 
 
@@ -129,16 +133,17 @@
             body_sent_at = 0.0
             if remaining_body is not None:
                 timeout_ms = deadline - now_ms()  # restarts at the body's last byte
-                failure = yield from self.send_body(connection, remaining_body, is_cancelled)
+                clock = UploadClock(now_ms())
+                failure = yield from self.send_body(connection, remaining_body, is_cancelled, clock, timeout_ms)
                 if failure is not None:
                     return failure
                 body_sent_at = now_ms()
-                deadline = body_sent_at + timeout_ms
+                deadline = clock.written_at + timeout_ms
                 timers.append(self.loop.at(deadline, stream.notify))
             request_written = True
             if write_by < deadline and stream.has_undelivered_bytes():
                 timers.append(self.loop.at(write_by, stream.notify))
-            result = yield from self.read_response(connection, deadline, is_cancelled, write_by)
+            result = yield from self.read_response(connection, deadline, timers, is_cancelled, write_by)
             if body_sent_at:
                 result = replace(result, body_sent_at=body_sent_at)
             if isinstance(result.reply, StreamingResponse):
@@ -189,10 +194,16 @@
         return None
 
     def send_body(
-        self, connection: Connection, remaining_body: StreamingBody, is_cancelled: Callable[[], bool]
+        self,
+        connection: Connection,
+        remaining_body: StreamingBody,
+        is_cancelled: Callable[[], bool],
+        clock: UploadClock,
+        timeout_ms: float,
     ) -> Steps[AttemptResult | None]:
         """Stream a body to the server, reading from the client only as fast as the server reads.
 
+        It is given up ``timeout_ms`` after the client may have written the last byte, and if the server stalls.
         Returns None once it is written completely or the server has responded early, else the result. A request cut
         off before its last byte never ran; if the client stopped, the server is not at fault.
         """
@@ -222,19 +233,23 @@
                     if isinstance(chunk, HttpError):
                         return AttemptResult(Ending.MOOT, AttemptProgress.UNWRITTEN, chunk.reason)
                     if chunk[0] or chunk[1]:
+                        clock.on_passed_on(now_ms(), len(chunk[0]))
                         http.send_body(*chunk)
                         unsent, stall_deadline = len(stream.outgoing), now_ms() + BODY_STALL_TIMEOUT_MS
                         if chunk[1]:
                             return None
                         continue
-                    # A silent client is not a stalled server: ``remaining_body`` limits that.
-                    stall_deadline = now_ms() + BODY_STALL_TIMEOUT_MS
-                elif now_ms() >= stall_deadline:
+                    if remaining_body.is_drained():
+                        # A silent client is not a stalled server: ``remaining_body`` limits that.
+                        clock.on_drained(now_ms())
+                        stall_deadline = now_ms() + BODY_STALL_TIMEOUT_MS
+                if now_ms() >= min(stall_deadline, clock.written_at + timeout_ms):
                     return AttemptResult(
-                        Ending.TIMEOUT, AttemptProgress.UNWRITTEN, "the server stopped reading the body"
+                        Ending.TIMEOUT, AttemptProgress.UNWRITTEN, "the server read the body too slowly"
                     )
                 if timer.when <= now_ms():
-                    timer = self.loop.after(BODY_POLL_INTERVAL_MS, wake)
+                    until_timeout_ms = max(1.0, clock.written_at + timeout_ms - now_ms())
+                    timer = self.loop.after(min(BODY_POLL_INTERVAL_MS, until_timeout_ms), wake)
                 yield
         finally:
             timer.cancel()
@@ -354,16 +369,28 @@
         return None
 
     def read_response(
-        self, connection: Connection, deadline: float, is_cancelled: Callable[[], bool], deliver_by: float = NEVER
+        self,
+        connection: Connection,
+        deadline: float,
+        timers: list[Timer],
+        is_cancelled: Callable[[], bool],
+        deliver_by: float = NEVER,
     ) -> Steps[AttemptResult]:
-        """Wait for the response; it counts only when complete.
+        """Wait for the response; it counts only when complete, or when the caller has to stream the rest.
 
         A request that has not reached the server's machine as a whole at ``deliver_by`` (Unix ms) is given up: a
         server that reads slowly would run it after its time.
         """
         http, stream, record = connection.http, connection.http.stream, connection.record
+        hold_until = 0.0
         while True:
             reply = http.read_response()
+            if reply is None and http.has_unknown_length:
+                if not hold_until:
+                    hold_until = now_ms() + min(MAX_HOLD_MS, (deadline - now_ms()) / 2.0)
+                    timers.append(self.loop.at(hold_until, stream.notify))
+                elif now_ms() >= hold_until and self.is_served(http):
+                    reply = http.start_streaming()
             progress = AttemptProgress.UNWRITTEN if stream.outgoing else AttemptProgress.WRITTEN
             if isinstance(reply, StreamingResponse):  # the caller streams the rest
                 verdict = self.codec.verdict(HttpResponse(reply.status, reply.headers, b""))
@@ -423,6 +450,12 @@
                 return AttemptResult(Ending.TIMEOUT, progress, "no answer in time")
             yield
 
+    def is_served(self, http: HttpClientConnection) -> bool:
+        """Return whether the head of a response that is not complete yet says that the request was served."""
+        if http.head is None:
+            return False
+        return self.codec.verdict(HttpResponse(http.head.status_code, http.headers, b"")).ending is Ending.OK
+
     # Connections
 
     def release(self, connection: Connection, keep: bool, cause: str) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
 import socket
 import struct
@@ -260,8 +261,9 @@
 
         with self.run_alongside(send_body):
             server_connection = self.accept(server)
-            while server_connection.recv(1 << 20):
-                pass
+            with contextlib.suppress(ConnectionResetError):  # what the kernel still held is dropped
+                while server_connection.recv(1 << 20):
+                    pass
             self.assertTrue(read_message(client).startswith(b"HTTP/1.1 413"))
 
     def test_server_that_does_not_read_applies_backpressure_to_its_client(self) -> None:
