--- a/benchmarks/greedy_peers.py
+++ b/benchmarks/greedy_peers.py
@@ -1,6 +1,6 @@
 """How long usual requests wait while other clients take all that they can get, and what memory the gateway holds.
 
-python -m benchmarks.greedy_peers [--seconds 6] [--program FOLDER] [KIND ...]
+python -m benchmarks.greedy_peers [--seconds 6] [--memory 96] [--program FOLDER] [KIND ...]
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from petrelhall.standins.world import free_port, ready, settings, text
@@ -30,7 +30,10 @@
 BATCH_TIMEOUT_S = 10.0  # for the answers to what a greedy client has sent
 SEED = 1
 
+STOP_TIMEOUT_S = 20.0
+
 Address = tuple[str, int]
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 @dataclass(frozen=True)
@@ -134,14 +137,14 @@
     asyncio.run(run_all())
 
 
-async def ask(address: Address, pid: int, until: float) -> tuple[list[float], int, float]:
+async def ask(address: Address, pid: int, until: float, customer: int = 2) -> tuple[list[float], int, float]:
     """Send usual requests one by one: their times in s, how many were not served, and the most memory in MB."""
-    times, not_served, memory_mb, number = [], 0, 0.0, 1 << 60
+    times, not_served, memory_mb, number = [], 0, 0.0, customer << 59
     reader, writer = await asyncio.open_connection(*address)
     while time.monotonic() < until:
         number += 1
         sent_at = time.monotonic()
-        writer.write(request(number, customer=2))
+        writer.write(request(number, customer=customer))
         head = await reader.readuntil(b"\r\n\r\n")
         length = re.search(rb"content-length: *(\d+)", head, re.IGNORECASE)
         await reader.readexactly(int(length[1]) if length else 0)
@@ -153,62 +156,83 @@
     return times, not_served, memory_mb
 
 
-def resident_mb(pid: int) -> float:
-    """Give the resident memory of a process in MB."""
+def resident_mb(pid: int, field: str = "VmRSS") -> float:
+    """Give the resident memory of a process in MB; VmHWM is the most that it ever was."""
     with open(f"/proc/{pid}/status") as file:
-        found = re.search(r"VmRSS:\s+(\d+)", file.read())
+        found = re.search(rf"{field}:\s+(\d+)", file.read())
     return int(found[1]) / 1024.0 if found else 0.0
 
 
-async def measure(kind: str, seconds: float, program: str) -> None:
-    """Play one kind against a fresh gateway and print its line."""
-    servers = [await asyncio.start_server(serve, "127.0.0.1", 0) for _ in range(SERVERS)]
-    listen = free_port()
-    entries = [
-        {"id": f"s{n}", "addr": text(server.sockets[0].getsockname()), "zone": "room-a", "kind": "k", "cell": 0}
-        | {"state": "Ready", "weight": 1.0, "started_ms": 0}
-        for n, server in enumerate(servers)
-    ]
-    config = {
-        "name": "n0",
-        "listen": text(listen),
-        "discovery": "127.0.0.1:1",
-        "seed": "1",
-        "limits": {"sockets": 1024, "memory_mb": 96},
-        "settings": settings(1, 0, DEADLINE_MS),
-        "known": {"version": 1, "full": True, "servers": entries},
-    }
-    with tempfile.TemporaryDirectory() as folder:
-        path = os.path.join(folder, "config.json")
+class Gateway:
+    """A gateway process with its servers; ``peak_mb`` is the most memory that was resident."""
+
+    def __init__(self, serve_one: Serve, program: str, memory_mb: float, descriptors: int = 1024) -> None:
+        self.serve_one, self.program, self.memory_mb, self.descriptors = serve_one, program, memory_mb, descriptors
+        self.address, self.peak_mb, self.figures = free_port(), 0.0, ""
+
+    async def __aenter__(self) -> Gateway:
+        """Start the servers and the gateway."""
+        self.servers = [await asyncio.start_server(self.serve_one, "127.0.0.1", 0) for _ in range(SERVERS)]
+        entries = [
+            {"id": f"s{n}", "addr": text(server.sockets[0].getsockname()), "zone": "room-a", "kind": "k", "cell": 0}
+            | {"state": "Ready", "weight": 1.0, "started_ms": 0}
+            for n, server in enumerate(self.servers)
+        ]
+        config = {
+            "name": "n0",
+            "listen": text(self.address),
+            "discovery": "127.0.0.1:1",
+            "seed": "1",
+            "limits": {"sockets": self.descriptors, "memory_mb": self.memory_mb},
+            "settings": settings(1, 0, DEADLINE_MS),
+            "known": {"version": 1, "full": True, "servers": entries},
+        }
+        self.folder = tempfile.TemporaryDirectory()
+        path = os.path.join(self.folder.name, "config.json")
         with open(path, "w") as file:
             json.dump(config, file)
-        gateway = await asyncio.create_subprocess_exec(
+        self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "petrelhall",
-            cwd=program,
+            cwd=self.program,
             stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "EDGE_CONFIG": path, "TMPDIR": folder},
+            env={**os.environ, "EDGE_CONFIG": path, "TMPDIR": self.folder.name},
         )
+        self.pid = self.process.pid
+        await ready(self.address)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        """Stop the gateway and note its figures."""
+        self.peak_mb = resident_mb(self.pid, "VmHWM")
+        self.process.send_signal(signal.SIGTERM)
         try:
-            await ready(listen)
-            until = time.monotonic() + seconds
-            greedy = multiprocessing.Process(target=run_greedy_clients, args=(listen, kind, until), daemon=True)
-            greedy.start()
-            await asyncio.sleep(1.0)  # all greedy clients are at work
-            times, not_served, memory_mb = await ask(listen, gateway.pid, until)
-            await asyncio.to_thread(greedy.join, BATCH_TIMEOUT_S)
-            greedy.kill()
-        finally:
-            gateway.send_signal(signal.SIGTERM)
-            _, log = await gateway.communicate()
-    for server in servers:
-        server.close()
-    turns = re.search(rb"longest step.*", log)
+            _, log = await asyncio.wait_for(self.process.communicate(), STOP_TIMEOUT_S)
+        except TimeoutError:
+            self.process.kill()
+            _, log = await self.process.communicate()
+        turns = re.search(rb"longest step.*", log)
+        self.figures = turns[0].decode() if turns else "no record of turns"
+        for server in self.servers:
+            server.close()
+        self.folder.cleanup()
+
+
+async def measure(kind: str, options: argparse.Namespace) -> None:
+    """Play one kind against a fresh gateway and print its line."""
+    async with Gateway(serve, options.program, options.memory) as gateway:
+        until = time.monotonic() + options.seconds
+        greedy = multiprocessing.Process(target=run_greedy_clients, args=(gateway.address, kind, until), daemon=True)
+        greedy.start()
+        await asyncio.sleep(1.0)  # all greedy clients are at work
+        times, not_served, memory_mb = await ask(gateway.address, gateway.pid, until)
+        await asyncio.to_thread(greedy.join, BATCH_TIMEOUT_S)
+        greedy.kill()
     print(
         f"{kind}, {KINDS[kind].clients} clients: {len(times)} usual requests, {not_served} not served, "
         f"{1000.0 * statistics.median(times):.0f} ms in the median, {1000.0 * max(times):.0f} ms at most; "
-        f"{memory_mb:.0f} MB; {turns[0].decode() if turns else 'no record of turns'}",
+        f"{memory_mb:.0f} MB; {gateway.figures}",
         flush=True,
     )
 
@@ -218,10 +242,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("kinds", nargs="*", choices=[[], *KINDS], metavar="KIND")
     parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--memory", type=float, default=96.0, help="memory_mb of the gateway")
     parser.add_argument("--program", default=os.getcwd(), help="checkout whose gateway is measured")
     options = parser.parse_args()
     for kind in options.kinds or KINDS:
-        asyncio.run(measure(kind, options.seconds, options.program))
+        asyncio.run(measure(kind, options))
 
 
 if __name__ == "__main__":
