One memory budget for all that peers make a process hold

Cause: only bodies over 64 KiB were counted. Each connection read and kept up to 64 KiB; what is passed on held 16 KiB a direction whatever the limit; a refused request stayed referred to by its connection's task while its client went on sending; each step of a streamed answer left a cancelled timer for 4 s. Change: net/memory.py takes the place of http/room.py: one budget from memory_mb and the process's size at its start. A connection may hold an eighth of what is free, at least 2 KiB. Beyond that bodies and answers are passed on in smaller pieces, input waits in the kernel, unfinished requests are answered 503. The rest of a body of known length waits in the kernel (SO_RCVLOWAT). Cancelled timers are removed from the heap. handle_next_request is split, so that nothing refers to a request once it is answered.

--- a/benchmarks/greedy_peers.py
+++ b/benchmarks/greedy_peers.py
@@ -144,8 +144,17 @@
     while time.monotonic() < until:
         number += 1
         sent_at = time.monotonic()
+        if reader.at_eof():  # a gateway may close a connection between requests
+            writer.close()
+            reader, writer = await asyncio.open_connection(*address)
         writer.write(request(number, customer=customer))
-        head = await reader.readuntil(b"\r\n\r\n")
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError as error:
+            if error.partial:
+                raise
+            reader.feed_eof()  # the close crossed the request, which is sent once more
+            continue
         length = re.search(rb"content-length: *(\d+)", head, re.IGNORECASE)
         await reader.readexactly(int(length[1]) if length else 0)
         times.append(time.monotonic() - sent_at)
--- a/benchmarks/slow_peers.py
+++ b/benchmarks/slow_peers.py
@@ -61,11 +61,12 @@
 async def send(writer: asyncio.StreamWriter, data: bytes, bytes_per_s: float = 0.0) -> None:
     """Send data, at a limited rate if there is one."""
     step = 65536 if not bytes_per_s else max(1, int(bytes_per_s / 10.0))
-    for at in range(0, len(data), step):
-        writer.write(data[at : at + step])
-        await writer.drain()
-        if bytes_per_s:
-            await asyncio.sleep(0.1)
+    with contextlib.suppress(ConnectionError):
+        for at in range(0, len(data), step):
+            writer.write(data[at : at + step])
+            await writer.drain()
+            if bytes_per_s:
+                await asyncio.sleep(0.1)
 
 
 async def send_slowly(address: Address, data: bytes, bytes_per_s: float) -> None:
--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -6,7 +6,7 @@
 import select
 import socket
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from petrelhall.gateway.platform import HEALTH_PATH
@@ -20,7 +20,6 @@
     StreamingBody,
     StreamingResponse,
 )
-from petrelhall.http.room import BodyBudget
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, describe, now_ms
 from petrelhall.net.stream import MAX_UNREAD_BYTES, READ_CHUNK_BYTES, RESOURCE_ERRNOS, Address, Stream, bind_socket
@@ -83,11 +82,30 @@
         """Return the status, headers and body of an answer."""
 
 
+@dataclass(frozen=True, slots=True)
+class HealthStatus:
+    """Answer to a health check."""
+
+    healthy: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of a request: its answer, and whether its connection closes after it (``last``).
+
+    ``timed_out``: the request did not come whole in time.
+    """
+
+    answer: Answer | HttpError | HealthStatus
+    last: bool
+    timed_out: bool = False
+
+
 class Client:
     """One client connection."""
 
-    def __init__(self, stream: Stream, body_budget: BodyBudget, check_head: Callable[[HttpRequest], object]) -> None:
-        self.stream, self.http = stream, HttpServerConnection(stream, body_budget, check_head)
+    def __init__(self, stream: Stream, check_head: Callable[[HttpRequest], object]) -> None:
+        self.stream, self.http = stream, HttpServerConnection(stream, True, check_head)
         # A request is in flight; any request was answered; the first byte of the next request has arrived.
         self.busy = self.answered = self.request_started = False
         self.evicted = False  # the next answer is the last one: others wait for the descriptor
@@ -99,7 +117,7 @@
 
     def overdue(self) -> bool:
         """Return whether a started request has run out of time: received bytes extend it, a stall ends it."""
-        now, received = now_ms(), self.stream.received
+        now, received = now_ms(), self.stream.arrived_bytes()
         if received != self.bytes_seen:
             self.bytes_seen, self.progress_at = received, now
         extended = self.expires_at + (received - self.bytes_before_request) * EXTRA_MS_PER_BYTE
@@ -142,9 +160,7 @@
         counts: Counts,
         log: Callable[[str], None],
         max_clients: int,
-        body_budget: BodyBudget,
     ) -> None:
-        self.body_budget = body_budget  # memory for request bodies and large answers
         self.loop, self.codec, self.request_handler, self.is_healthy = loop, codec, request_handler, is_healthy
         self.counts, self.log, self.max_clients = counts, log, max_clients
         self.clients: set[Client] = set()
@@ -221,7 +237,7 @@
         stream.end_on_peer_close, stream.max_unread = True, READ_CHUNK_BYTES
         stream.queued_since = self.queued_since
         stream.record_arrivals()
-        client = Client(stream, self.body_budget, self.codec.parse_request)
+        client = Client(stream, self.codec.parse_request)
         self.clients.add(client)
         client.stream.notify = self.loop.spawn(self.serve_client(client)).wake
         return True
@@ -291,72 +307,104 @@
 
     def handle_next_request(self, client: Client) -> Steps[bool]:
         """Read one request and answer it; returns False if the connection is to be closed."""
-        received = yield from self.next_request(client)
-        if received is None:
-            # A client that was never answered loses nothing by a reset, and there may be hundreds of them.
-            if (self.draining or client.answered) and not client.gone:
-                yield from self.close_gracefully(client)
+        outcome = yield from self.serve_next_request(client)
+        if outcome is None:
             return False
-        client.begin_request()
-        answer: Answer | HttpError | None
-        if isinstance(received, HttpRequest) and received.target.partition(b"?")[0] == HEALTH_PATH:
-            status, body = (200, b"ready\n") if self.is_healthy() and not self.draining else (503, b"not ready\n")
-            keep_alive = client.http.send_response(status, [], body, self.draining or client.evicted)
-        else:
-            request = self.codec.parse_request(received) if isinstance(received, HttpRequest) else received
-            if isinstance(request, Request) and isinstance(received, HttpRequest) and received.streaming_body is None:
-                arrived_at = client.stream.earliest_arrival_of(client.http.request_end)
-                request = subtract_queueing_time(request, now_ms() - arrived_at)
-            if isinstance(request, Request) and request.remaining_ms > self.answer_by - now_ms():
-                request = replace(request, remaining_ms=max(1.0, self.answer_by - now_ms()))
-            if isinstance(request, Request) and request.request_id in self.request_ids:
-                # Only the duplicate is rejected; the first request proceeds.
-                request = HttpError(400, "a request of that name is in hand")
-            if isinstance(request, HttpError):
-                # The first rejection of each status is logged for the engineer on call.
-                if not self.counts.get("answered", f"bad_{request.status}"):
-                    self.log(f"first request answered {request.status}: {request.reason}")
-                self.counts.add("answered", f"bad_{request.status}")
-                answer = request
-            else:
-                body_rest = received.streaming_body if isinstance(received, HttpRequest) else None
-                if body_rest is None:
-                    client.look_behind_request()
-                self.request_ids.add(request.request_id)
-                if body_rest is not None:
-                    self.start_streaming_body(client, body_rest)
-                try:
-                    answer = yield from self.request_handler.serve(request, client)
-                finally:
-                    self.request_ids.discard(request.request_id)
-                    if body_rest is not None:
-                        self.body_budget.active_streams -= 1
-                        client.stream.max_unread, client.stream.drop_excess = MAX_UNREAD_BYTES, True
-                if answer is None:
-                    return False
-                # A body that the client broke off is the client's error, whatever became of the attempt.
-                if body_rest is not None and body_rest.error is not None:
-                    self.counts.add("answered", f"bad_{body_rest.error.status}")
-                    answer = received = body_rest.error
-            last = (
-                self.draining
-                or client.evicted
-                or isinstance(received, HttpError)
-                or client.http.receiving_body
-                or client.stream.dropped_bytes > 0
-            )
-            if isinstance(answer, Served) and isinstance(answer.reply, StreamingResponse):
-                keep_alive = yield from self.stream_answer(client, answer.reply, last)
-            else:
-                keep_alive = client.http.send_response(*self.codec.render_answer(answer), last)
+        keep_alive = yield from self.send_answer(client, outcome)
+        timed_out = outcome.timed_out
+        # A slow client may keep its connection for long: it must not keep the answer in memory as well.
+        del outcome
         client.http.release_body()
         yield from self.wait_until_sent(client)
         keep_alive = keep_alive and not client.stream.dropped_bytes
-        if not keep_alive and not (self.at_capacity and isinstance(received, HttpError) and received.status == 408):
+        if not keep_alive and not (self.at_capacity and timed_out):
             yield from self.linger(client, client.http.receiving_body)
         client.end_request()
         return keep_alive and not client.gone
 
+    def serve_next_request(self, client: Client) -> Steps[Outcome | None]:
+        """Read one request and return its answer; None if the connection is to be closed without one.
+
+        Nothing refers to the request after this.
+        """
+        received = yield from self.next_request(client)
+        if received is None:
+            # A client that was never answered loses nothing by a reset, and there may be hundreds of them.
+            if (self.draining or client.answered) and not client.gone:
+                yield from self.close_gracefully(client)
+            return None
+        client.begin_request()
+        if isinstance(received, HttpRequest) and received.target.partition(b"?")[0] == HEALTH_PATH:
+            healthy = self.is_healthy() and not self.draining
+            return Outcome(HealthStatus(healthy), self.draining or client.evicted)
+        request = self.parse_request(client, received)
+        if isinstance(request, HttpError):
+            return self.reject(client, request, isinstance(received, HttpError))
+        body_rest = received.streaming_body if isinstance(received, HttpRequest) else None
+        answer = yield from self.serve_request(client, request, body_rest)
+        if answer is None:
+            return None
+        # A body that the client broke off is the client's error, whatever became of the attempt.
+        if body_rest is not None and body_rest.error is not None:
+            self.counts.add("answered", f"bad_{body_rest.error.status}")
+            return Outcome(body_rest.error, True)
+        return Outcome(answer, self.is_last_answer(client))
+
+    def parse_request(self, client: Client, received: HttpRequest | HttpError) -> Request | HttpError:
+        """Return the request that a message contains, with the time that is left for it."""
+        if isinstance(received, HttpError):
+            return received
+        request = self.codec.parse_request(received)
+        if isinstance(request, HttpError):
+            return request
+        if received.streaming_body is None:
+            arrived_at = client.stream.earliest_arrival_of(client.http.request_end)
+            request = subtract_queueing_time(request, now_ms() - arrived_at)
+        if request.remaining_ms > self.answer_by - now_ms():
+            request = replace(request, remaining_ms=max(1.0, self.answer_by - now_ms()))
+        if request.request_id in self.request_ids:
+            # Only the duplicate is rejected; the first request proceeds.
+            return HttpError(400, "a request of that name is in hand")
+        return request
+
+    def reject(self, client: Client, error: HttpError, unreadable: bool) -> Outcome:
+        """Return the answer to an invalid request; the first one of each status is logged for the engineer on call.
+
+        After what is ``unreadable`` no other request can be read.
+        """
+        if not self.counts.get("answered", f"bad_{error.status}"):
+            self.log(f"first request answered {error.status}: {error.reason}")
+        self.counts.add("answered", f"bad_{error.status}")
+        return Outcome(error, unreadable or self.is_last_answer(client), unreadable and error.status == 408)
+
+    def is_last_answer(self, client: Client) -> bool:
+        """Return whether the connection can carry no request after the answer that is sent next."""
+        return self.draining or client.evicted or client.http.receiving_body or client.stream.dropped_bytes > 0
+
+    def serve_request(self, client: Client, request: Request, body_rest: StreamingBody | None) -> Steps[Answer | None]:
+        """Have a valid request served; None if its client has left."""
+        if body_rest is None:
+            client.look_behind_request()
+        self.request_ids.add(request.request_id)
+        if body_rest is not None:
+            self.start_streaming_body(client, body_rest)
+        try:
+            return (yield from self.request_handler.serve(request, client))
+        finally:
+            self.request_ids.discard(request.request_id)
+            if body_rest is not None:
+                client.stream.max_unread, client.stream.drop_excess = MAX_UNREAD_BYTES, True
+
+    def send_answer(self, client: Client, outcome: Outcome) -> Steps[bool]:
+        """Send an answer, or pass it on as it comes; return whether the connection can carry another request."""
+        answer = outcome.answer
+        if isinstance(answer, HealthStatus):
+            status, body = (200, b"ready\n") if answer.healthy else (503, b"not ready\n")
+            return client.http.send_response(status, [], body, outcome.last)
+        if isinstance(answer, Served) and isinstance(answer.reply, StreamingResponse):
+            return (yield from self.stream_answer(client, answer.reply, outcome.last))
+        return client.http.send_response(*self.codec.render_answer(answer), outcome.last)
+
     def next_request(self, client: Client) -> Steps[HttpRequest | HttpError | None]:
         """Wait for a complete request; returns None if the connection ends between requests."""
         while True:
@@ -385,8 +433,7 @@
     def start_streaming_body(self, client: Client, body_rest: StreamingBody) -> None:
         """Set up streaming of a request body: little of it is buffered, and the client must keep sending."""
         self.counts.add("answered", "bodies_passed_on")
-        self.body_budget.active_streams += 1
-        client.stream.max_unread, client.stream.drop_excess = self.body_budget.bytes_per_stream, False
+        client.stream.max_unread, client.stream.drop_excess = self.loop.memory.bytes_per_stream, False
         body_rest.is_overdue = client.overdue
 
     def stream_answer(self, client: Client, answer: StreamingResponse, last: bool) -> Steps[bool]:
@@ -396,10 +443,9 @@
         there is no other way to tell the client that the rest will not come.
         """
         answer.claimed = True
-        self.body_budget.active_streams += 1
         client.stream.limit_send_buffer(STREAM_SEND_BUFFER_BYTES)
         source, wake = answer.source, self.loop.this_task().wake
-        source.stream.notify, source.stream.max_unread = wake, self.body_budget.bytes_per_stream
+        source.stream.notify, source.stream.max_unread = wake, self.loop.memory.bytes_per_stream
         content_type = answer.headers.get(b"content-type")
         # Only successful answers are streamed: the status is the server's 200.
         client.http.send_head(
@@ -410,6 +456,8 @@
         timer = self.loop.at(stalled_at, wake)
         try:
             while not client.gone:
+                if now_ms() >= timer.when:
+                    timer = self.loop.at(max(stalled_at, now_ms() + 1.0), wake)
                 progress = bool(data) or complete or len(client.stream.outgoing) < unsent
                 if data or complete:
                     keep_alive = client.http.send_body(data, complete)
@@ -419,10 +467,8 @@
                     data = b""
                 if progress:
                     stalled_at = now_ms() + STALL_TIMEOUT_MS
-                    timer.cancel()
-                    timer = self.loop.at(stalled_at, wake)
                 unsent = len(client.stream.outgoing)
-                if unsent < self.body_budget.bytes_per_stream:
+                if unsent < self.loop.memory.bytes_per_stream:
                     part = source.read_body()
                     if isinstance(part, HttpError):
                         break
@@ -437,7 +483,6 @@
             return False
         finally:
             timer.cancel()
-            self.body_budget.active_streams -= 1
             source.stream.max_unread = MAX_UNREAD_BYTES
             answer.on_done(complete)
 
@@ -464,6 +509,7 @@
         client.stream.discard()
         while (
             sending
+            and not self.at_capacity
             and not client.gone
             and not client.overdue()
             and client.bytes_seen - client.bytes_before_request < MAX_REQUEST_BODY_BYTES
--- a/petrelhall/gateway/platform.py
+++ b/petrelhall/gateway/platform.py
@@ -47,7 +47,7 @@
     "qps": "rate",
     "eps": "fail_rate",
 }
-REASON_BODIES = {400: b"bad request", 404: b"not found", 408: b"too slow", 413: b"body too large"}
+REASON_BODIES = {400: b"bad request", 404: b"not found", 408: b"too slow", 413: b"body too large", 503: b"no memory"}
 
 
 class InvalidRequest(ValueError):
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -28,12 +28,12 @@
 from petrelhall.gateway.peers import SHIFT_KIND, Peers
 from petrelhall.gateway.platform import Platform
 from petrelhall.gateway.requests import RequestHandler
-from petrelhall.http.room import BodyBudget
 from petrelhall.links.plan import ConnectionPlan
 from petrelhall.links.pool import ConnectionPool
 from petrelhall.net.counts import Counts
 from petrelhall.net.log import Log
 from petrelhall.net.loop import Loop, now_ms
+from petrelhall.net.memory import process_budget
 from petrelhall.net.stream import Address
 from petrelhall.operator.file import OperatorError, differences, read
 from petrelhall.operator.settings import File, Shared
@@ -72,6 +72,7 @@
         reserved = RESERVED_DESCRIPTORS + (MAX_MANAGEMENT_CONNECTIONS if config.mgmt else 0)
         descriptors = max(20, min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - reserved)
         client_descriptors = int(CLIENT_SHARE * descriptors)
+        self.loop.memory, max_clients = process_budget(config.memory_mb, client_descriptors)
         connection_plan = ConnectionPlan(
             operator_settings.links,
             descriptors - client_descriptors,
@@ -80,9 +81,8 @@
             settings.gateways,
             config.seed,
         )
-        body_budget = BodyBudget(config.memory_mb)
         self.pool = ConnectionPool(
-            self.loop, self.registry, platform, self.counts, connection_plan, config.connect_timeout_ms, body_budget
+            self.loop, self.registry, platform, self.counts, connection_plan, config.connect_timeout_ms
         )
         request_handler = RequestHandler(
             self.loop, self.dispatcher.dispatch, self.pool, self.counts, settings.max_retry_after_ms
@@ -110,8 +110,7 @@
             self.is_healthy,
             self.counts,
             log,
-            client_descriptors,
-            body_budget,
+            max_clients,
         )
         self.listener.on_empty = self.loop.stop
         self.serving = True
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -9,11 +9,13 @@
 
 import h11
 
-from petrelhall.http.reader import DEFERRED, EventReader, check_header_count
-from petrelhall.http.room import BodyBudget
+from petrelhall.http.reader import DEFERRED, UNAVAILABLE_STATUS, EventReader, check_header_count
+from petrelhall.net.memory import MAX_BUFFERED_BODY_BYTES
 from petrelhall.net.stream import Stream
 
-SMALL_BODY_BYTES = 65536  # larger bodies need memory budget or are streamed
+SMALL_BODY_BYTES = 65536  # larger bodies are streamed where there is no memory to buffer them
+# The rest of a body that is waited for in the kernel, which saves memory and turns; less is read as it comes.
+MIN_AWAITED_BYTES = 4096
 MAX_REQUEST_BODY_BYTES = (1 << 25) + SMALL_BODY_BYTES  # of a streamed request body: the platform allows 32 MB
 MAX_RESPONSE_BODY_BYTES = 1 << 26  # of a streamed response: the platform allows 32 MB
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
@@ -50,6 +52,11 @@
         self.error: HttpError | None = None
         self.is_overdue: Callable[[], bool] = lambda: False  # whether the client has exceeded its time to send
 
+    def begin(self) -> None:
+        """Forget the first bytes: they were written to a server, and the rest follows."""
+        self.consumed, self.first_bytes = True, b""
+        self.source.release_body()
+
     def read(self) -> tuple[bytes, bool] | HttpError:
         """Return the bytes received since the last call and whether the body is complete."""
         if self.error is None:
@@ -132,7 +139,8 @@
 class HttpServerConnection:
     """The server side of a connection, reading one request at a time.
 
-    With ``body_budget``, bodies over SMALL_BODY_BYTES are buffered while it allows, and otherwise streamed.
+    Bodies over SMALL_BODY_BYTES are buffered while the memory budget allows. Beyond that they are streamed with
+    ``streams_bodies``, and rejected without.
     """
 
     __slots__ = (
@@ -142,9 +150,8 @@
         "head",
         "headers",
         "body",
-        "body_budget",
+        "streams_bodies",
         "check_head",
-        "reserved",
         "body_received",
         "request_end",
     )
@@ -152,16 +159,16 @@
     def __init__(
         self,
         stream: Stream,
-        body_budget: BodyBudget | None = None,
+        streams_bodies: bool = False,
         check_head: Callable[[HttpRequest], object] = lambda message: None,
     ) -> None:
-        self.stream, self.reader, self.body_budget = stream, EventReader(stream, h11.SERVER), body_budget
+        self.stream, self.reader, self.streams_bodies = stream, EventReader(stream, h11.SERVER), streams_bodies
         self.http = self.reader.http
         self.check_head = check_head  # checks a head before its large body is read; an HttpError is answered at once
         self.head: h11.Request | None = None
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
-        self.reserved = self.body_received = 0  # bytes reserved in the budget for this body; bytes of it received
+        self.body_received = 0  # bytes
         self.request_end = 0  # bytes of the connection up to the end of the request that was last complete
 
     def read_request(self) -> HttpRequest | HttpError | None:
@@ -176,6 +183,7 @@
                 event = self.reader.next_event()
                 if event is h11.NEED_DATA:
                     self.send_continue()
+                    self.await_body()
                     return None
                 if event is DEFERRED or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                     return None
@@ -187,7 +195,7 @@
                         return HttpError(400, "another version of HTTP")
                     if ambiguous_framing(self.headers):  # request smuggling: the body could hide another request
                         return HttpError(400, "both Content-Length and Transfer-Encoding")
-                    length = content_length(self.headers) or 0
+                    length = self.stated_length
                     if length:
                         self.reader.expect_body(length)
                     if length > SMALL_BODY_BYTES:
@@ -197,9 +205,8 @@
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     self.body_received += len(event.data)
-                    if self.body_received > SMALL_BODY_BYTES and not self.reserve_budget():
-                        rejection = self.rejection()
-                        return rejection or self.finish_request(True)
+                    if not self.reserve_memory():
+                        return self.rejection() or self.stream_body()
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                     return self.finish_request(False)
         except h11.RemoteProtocolError as error:
@@ -207,27 +214,44 @@
 
     def rejection(self) -> HttpError | None:
         """Return why a request with a large body is rejected, as early as that is known."""
-        if (
-            self.body_budget is None
-            or max(self.body_received, content_length(self.headers) or 0) > MAX_REQUEST_BODY_BYTES
-        ):
+        if not self.streams_bodies or max(self.body_received, self.stated_length) > MAX_REQUEST_BODY_BYTES:
             return HttpError(413, "body too large")
         rejection = self.check_head(self.build_request(b"-", None))
         return rejection if isinstance(rejection, HttpError) else None
 
-    def reserve_budget(self) -> bool:
-        """Reserve budget for the received part of a body, or for all of it if its length is stated."""
-        needed = max(self.body_received, content_length(self.headers) or 0) - self.reserved
-        if self.body_budget is None or (needed > 0 and not self.body_budget.reserve(needed, self.reserved)):
+    @property
+    def stated_length(self) -> int:
+        """The Content-Length of the request that is being received, 0 if it states none."""
+        return content_length(self.headers) or 0
+
+    def await_body(self) -> None:
+        """Leave the rest of a body in the kernel until it is complete there, or as much as is buffered of any body."""
+        awaited = min(self.stated_length, SMALL_BODY_BYTES + 1) - self.body_received
+        if self.head is not None and awaited >= MIN_AWAITED_BYTES and not self.stream.incoming:
+            self.stream.wait_for(awaited)
+
+    def reserve_memory(self) -> bool:
+        """Reserve memory for the received part of a body, or for all of a large one if its length is stated."""
+        length = self.stated_length
+        needed = max(self.body_received, length if length > SMALL_BODY_BYTES else 0)
+        stream = self.stream
+        if needed <= stream.body_bytes:
+            return True
+        if needed > min(MAX_BUFFERED_BODY_BYTES, stream.memory.share_bytes):
             return False
-        self.reserved += max(0, needed)
+        stream.hold(stream.parser_bytes, needed)
         return True
 
+    def stream_body(self) -> HttpRequest | HttpError:
+        """Return a request whose body is streamed; a small one is not, which would hold up a server for little."""
+        if max(self.body_received, self.stated_length) <= SMALL_BODY_BYTES:
+            return HttpError(UNAVAILABLE_STATUS, "no memory for the body")
+        return self.finish_request(True)
+
     def release_body(self) -> None:
-        """Release the budget reserved for a body: the request is answered or the connection has ended."""
-        if self.body_budget is not None and self.reserved:
-            self.body_budget.release(self.reserved)
-        self.reserved = 0
+        """Release the memory of a body: it is sent, the request is answered or the connection has ended."""
+        if self.stream.body_bytes:
+            self.stream.hold(self.stream.parser_bytes, 0)
         self.body.clear()
 
     def finish_request(self, streamed: bool) -> HttpRequest:
@@ -375,10 +399,14 @@
             out += self.http.send(END_OF_MESSAGE) or b""
         self.stream.write(out)
 
-    def read_response(self, max_bytes: int = SMALL_BODY_BYTES) -> HttpResponse | StreamingResponse | HttpError | None:
-        """Return the response once it is complete; an incomplete response is an error and never served."""
+    def read_response(self, max_bytes: int = 0) -> HttpResponse | StreamingResponse | HttpError | None:
+        """Return the response once it is complete; an incomplete response is an error and never served.
+
+        One with more than ``max_bytes``, or what the memory budget allows of SMALL_BODY_BYTES, is streamed.
+        """
         if not self.reader.has_input and not self.stream.ended:
             return None
+        max_bytes = max_bytes or min(SMALL_BODY_BYTES, self.stream.memory.share_bytes + self.stream.body_bytes)
         try:
             while True:
                 event = self.reader.next_event()
@@ -408,8 +436,10 @@
                     self.body += event.data
                     if len(self.body) > max_bytes:
                         return self.start_streaming()
+                    self.stream.body_bytes = len(self.body)
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                     head, self.head = self.head, None
+                    self.stream.hold(self.stream.parser_bytes, 0)
                     return HttpResponse(head.status_code, self.headers, bytes(self.body))
                 elif isinstance(event, h11.InformationalResponse) and self.interim < MAX_INTERIM_RESPONSES:
                     self.interim += 1
@@ -430,6 +460,7 @@
         first_bytes = bytes(self.body)
         self.streamed_bytes = len(first_bytes)
         self.body.clear()
+        self.stream.hold(self.stream.parser_bytes, 0)
         return StreamingResponse(self.head.status_code, self.headers, first_bytes, content_length(self.headers), self)
 
     def read_body(self) -> tuple[bytes, bool] | HttpError:
--- a/petrelhall/http/reader.py
+++ b/petrelhall/http/reader.py
@@ -20,7 +20,7 @@
 PIECE_LINES = 128
 MAX_BLANKS = 256  # spaces and tabs in a row, in a head or trailers
 BLANKS = b" " * MAX_BLANKS
-BAD_REQUEST_STATUS, HEAD_TOO_LARGE_STATUS = 400, 431
+BAD_REQUEST_STATUS, HEAD_TOO_LARGE_STATUS, UNAVAILABLE_STATUS = 400, 431, 503
 
 
 class Deferred:
@@ -68,6 +68,7 @@
             if not self.stream.incoming:
                 return event
         self.deferred = True
+        self.count_unparsed()
         self.loop.resume_next_turn()
         return DEFERRED
 
@@ -86,16 +87,30 @@
         self.data_left = max(0, length - len(self.http.trailing_data[0]))
 
     def check_incomplete(self) -> None:
-        """Reject an incomplete head, or trailers, that would take too long to parse (h11.RemoteProtocolError)."""
-        incomplete = self.http.trailing_data[0]
+        """Count an incomplete head, or trailers; reject what would take too long to parse, or too much memory.
+
+        Raises h11.RemoteProtocolError.
+        """
+        incomplete = self.count_unparsed()
+        if not incomplete:
+            return
+        if len(incomplete) > self.stream.memory.share_bytes:
+            raise h11.RemoteProtocolError("no memory for so large a head", UNAVAILABLE_STATUS)
         if incomplete.count(b"\n") > PIECE_LINES:
             raise h11.RemoteProtocolError("too many lines in a head", HEAD_TOO_LARGE_STATUS)
         if len(incomplete) >= MAX_BLANKS and BLANKS in incomplete.replace(b"\t", b" "):
             raise h11.RemoteProtocolError("too many blanks in a head", BAD_REQUEST_STATUS)
 
+    def count_unparsed(self) -> bytes:
+        """Return what h11 was handed and has not parsed, and count it as held."""
+        unparsed: bytes = self.http.trailing_data[0]
+        if len(unparsed) != self.stream.parser_bytes:
+            self.stream.hold(len(unparsed), self.stream.body_bytes)
+        return unparsed
+
     def end_message(self) -> int:
         """End the connection's share of this turn, since a message is complete; return the bytes up to its end."""
-        left_over = len(self.http.trailing_data[0])
+        left_over = len(self.count_unparsed())
         self.events_left = self.data_left = 0
         self.needs_data = not left_over
         return self.stream.received - len(self.stream.incoming) - left_over
--- a/petrelhall/links/pool.py
+++ b/petrelhall/links/pool.py
@@ -10,7 +10,6 @@
 
 from petrelhall.decide.interface import Ending
 from petrelhall.http.h1 import HttpClientConnection, HttpError, HttpResponse, StreamingBody, StreamingResponse
-from petrelhall.http.room import BodyBudget
 from petrelhall.links.attempt import AttemptProgress, AttemptResult, RequestCodec
 from petrelhall.links.limits import NEVER
 from petrelhall.links.plan import ConnectFailure, ConnectionPlan, ConnectionRecord, ConnectionState, Unavailable, Wait
@@ -67,9 +66,7 @@
         counts: Counts,
         plan: ConnectionPlan,
         connect_timeout_ms: float,
-        body_budget: BodyBudget | None = None,
     ) -> None:
-        self.body_budget = body_budget or BodyBudget(0.0)  # memory budget for streamed bodies
         self.loop, self.registry, self.codec, self.counts, self.plan = loop, registry, codec, counts, plan
         self.connect_timeout_ms = connect_timeout_ms
         # Callbacks of requests waiting for a connection, by server id.
@@ -208,7 +205,7 @@
         off before its last byte never ran; if the client stopped, the server is not at fault.
         """
         stream, http = connection.http.stream, connection.http
-        remaining_body.consumed, remaining_body.first_bytes = True, b""
+        remaining_body.begin()
         wake = self.loop.this_task().wake
         stall_deadline = now_ms() + BODY_STALL_TIMEOUT_MS
         unsent = len(stream.outgoing)
@@ -228,7 +225,7 @@
                 if len(stream.outgoing) < unsent:
                     stall_deadline = now_ms() + BODY_STALL_TIMEOUT_MS
                 unsent = len(stream.outgoing)
-                if unsent < self.body_budget.bytes_per_stream:
+                if unsent < self.loop.memory.bytes_per_stream:
                     chunk = remaining_body.read()
                     if isinstance(chunk, HttpError):
                         return AttemptResult(Ending.MOOT, AttemptProgress.UNWRITTEN, chunk.reason)
--- a/petrelhall/net/loop.py
+++ b/petrelhall/net/loop.py
@@ -15,12 +15,15 @@
 from collections.abc import Callable, Generator
 from typing import Any, TypeVar
 
+from petrelhall.net.memory import MemoryBudget
 from petrelhall.net.turns import SLOW_TURN_BOUNDS_MS, Turn, TurnTimes
 
 T = TypeVar("T")
 Steps = Generator[None, None, T]  # a coroutine run by a task; it ends with a value
 
 MAX_POLL_S = 60.0
+MAX_CANCELLED_TIMERS = 500  # beyond these they are removed from the heap once they are most of it
+UNLIMITED_BYTES = 1 << 40
 BLOCKED_POLL_MS = 1.0  # a poll that took this long has blocked: nothing was ready when it began
 OFFSET_MS = time.time() * 1000.0 - time.monotonic() * 1000.0
 
@@ -33,14 +36,16 @@
 class Timer:
     """A call scheduled for some time, unless cancelled."""
 
-    __slots__ = ("when", "call")
+    __slots__ = ("when", "call", "loop")
 
-    def __init__(self, when: float, call: Callable[[], object] | None) -> None:
-        self.when, self.call = when, call
+    def __init__(self, when: float, call: Callable[[], object] | None, loop: Loop) -> None:
+        self.when, self.call, self.loop = when, call, loop
 
     def cancel(self) -> None:
-        """Cancel the call."""
-        self.call = None
+        """Cancel the call. Idempotent, also after the call was made."""
+        if self.call is not None:
+            self.call = None
+            self.loop.cancelled_timers += 1
 
 
 class Task:
@@ -59,13 +64,14 @@
 
 
 class Loop:
-    """Runs the handlers, timers and tasks of one thread."""
+    """Runs the handlers, timers and tasks of one thread; ``memory`` limits what its streams hold."""
 
-    def __init__(self, log: Callable[[str], None]) -> None:
+    def __init__(self, log: Callable[[str], None], memory: MemoryBudget | None = None) -> None:
         self.log, self.epoll = log, select.epoll()
+        self.memory = memory or MemoryBudget(UNLIMITED_BYTES)
         self.handlers: dict[int, Callable[[int], None]] = {}
         self.timers: list[tuple[float, int, Timer]] = []  # a heap; the sequence number orders equal times
-        self.timer_count = 0
+        self.timer_count = self.cancelled_timers = 0  # timers ever set; cancelled ones that are still in the heap
         self.ready: deque[Task] = deque()
         self.current: Task | None = None
         self.running = False
@@ -96,11 +102,19 @@
 
     def at(self, when: float, call: Callable[[], object]) -> Timer:
         """Schedule a call at a time (Unix ms)."""
-        timer = Timer(when, call)
+        timer = Timer(when, call, self)
         self.timer_count += 1
         heapq.heappush(self.timers, (when, self.timer_count, timer))
+        if self.cancelled_timers > MAX_CANCELLED_TIMERS and 2 * self.cancelled_timers > len(self.timers):
+            self.drop_cancelled_timers()
         return timer
 
+    def drop_cancelled_timers(self) -> None:
+        """Remove the cancelled timers from the heap."""
+        self.timers = [entry for entry in self.timers if entry[2].call is not None]
+        heapq.heapify(self.timers)
+        self.cancelled_timers = 0
+
     def after(self, delay_ms: float, call: Callable[[], object]) -> Timer:
         """Schedule a call after a delay."""
         return self.at(now_ms() + delay_ms, call)
@@ -169,8 +183,11 @@
     def run_timers(self, now: float) -> None:
         """Make the calls that are due."""
         while self.timers and self.timers[0][0] <= now:
-            call = heapq.heappop(self.timers)[2].call
-            if call is not None:
+            timer = heapq.heappop(self.timers)[2]
+            call, timer.call = timer.call, None  # a later cancellation is none of a timer in the heap
+            if call is None:
+                self.cancelled_timers -= 1
+            else:
                 self.guard(call)
 
     def run_tasks(self, timers_started_at: float) -> None:
@@ -203,6 +220,7 @@
             return 0.0
         while self.timers and self.timers[0][2].call is None:
             heapq.heappop(self.timers)
+            self.cancelled_timers -= 1
         if not self.timers:
             return MAX_POLL_S
         return min(MAX_POLL_S, max(0.0, (self.timers[0][0] - now_ms()) / 1000.0))
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from petrelhall.net.loop import Loop, now_ms
+from petrelhall.net.memory import MIN_SHARE_BYTES, MemoryBudget
 
 READ_CHUNK_BYTES = 65536
 MAX_UNREAD_BYTES = 98304  # buffered for a busy reader by default; the kernel holds the rest
@@ -22,10 +23,12 @@
 READ_EVENTS = select.EPOLLIN | select.EPOLLRDHUP
 MAX_ARRIVALS = 64  # reads whose times are kept, of a stream with ``record_arrivals``
 
-UNACKNOWLEDGED_BYTES = struct.Struct("i")  # the result of ioctl TIOCOUTQ
+KERNEL_BYTES = struct.Struct("i")  # the result of the ioctls TIOCOUTQ and FIONREAD
 RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 SOCKET_FLAGS = socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC
 
+CLOSED = MemoryBudget(0.0)  # where closed streams count what they hold, which nobody reads
+
 Address = tuple[str, int]
 
 
@@ -53,12 +56,21 @@
         "queued_since",
         "earliest_arrival_at",
         "arrivals",
+        "memory",
+        "parser_bytes",
+        "body_bytes",
+        "counted_bytes",
+        "low_water_bytes",
     )
 
     def __init__(self, loop: Loop, sock: socket.socket, notify: Callable[[], object], connecting: bool = False) -> None:
         self.loop, self.sock, self.fd, self.notify = loop, sock, sock.fileno(), notify
         self.connecting, self.ended, self.error = connecting, False, 0
         self.incoming, self.outgoing, self.discarding = bytearray(), bytearray(), False
+        # Bytes received that the protocol's parser holds, and those of a message's body that its owner holds.
+        self.parser_bytes = self.body_bytes = 0
+        self.memory, self.counted_bytes = loop.memory, 0  # the bytes of this stream that are counted there
+        self.low_water_bytes = 1  # reported as readable only when the kernel holds so many
         self.received = 0  # total bytes received
         self.max_unread = MAX_UNREAD_BYTES
         self.end_on_peer_close = False  # end when the peer closes, even before unread data
@@ -109,7 +121,7 @@
                 self.flush()
             if mask & select.EPOLLRDHUP and self.end_on_peer_close:
                 self.end(0)  # nobody needs the data before the close any more
-            elif mask & HANGUP_EVENTS and len(self.incoming) > self.max_unread:
+            elif mask & HANGUP_EVENTS and self.is_full():
                 # Hangups are reported whatever the mask: left registered, it would busy-loop until the reader reads.
                 self.end(self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or errno.ECONNRESET)
             elif mask & ~select.EPOLLOUT:
@@ -117,7 +129,7 @@
 
     def receive(self) -> None:
         """Read once; the caller has polled whether the peer has closed (``handle_ready``)."""
-        full = len(self.incoming) > self.max_unread
+        full = self.is_full()
         if self.ended or self.connecting or (full and not self.drop_excess):
             return self.watch()
         try:
@@ -128,8 +140,11 @@
                 if not dropped or self.dropped_bytes > MAX_DROPPED_BYTES:
                     self.end(0)
                 return
+            if self.low_water_bytes > 1:
+                self.wait_for(1)  # or what is left after this read might be too little to be reported
             # One byte more than may be unread, so that a full buffer can be told from one that is exactly used up.
-            data = self.sock.recv(min(READ_CHUNK_BYTES, self.max_unread + 1 - len(self.incoming)))
+            size = min(self.max_unread, self.memory.share_bytes) + 1 - len(self.incoming)
+            data = self.sock.recv(min(READ_CHUNK_BYTES, size))
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -138,14 +153,50 @@
             return self.end(0)
         self.received += len(data)
         self.incoming += data
+        self.count_held()
         # Data received with or before the registration may have waited for as long as the connection itself.
         new = self.registered_at >= self.loop.previous_poll_at
         self.earliest_arrival_at = self.queued_since if new else self.loop.earliest_ready_at
         if self.arrivals is not None:
             self.arrivals.append((self.received, self.earliest_arrival_at))
-        if len(self.incoming) > self.max_unread:
+        if self.is_full():
             self.watch()
 
+    def is_full(self) -> bool:
+        """Return whether as much is unread as may be, which the rest of the process's memory also limits."""
+        unread = len(self.incoming)
+        return unread > self.max_unread or (unread > MIN_SHARE_BYTES and unread > self.memory.share_bytes)
+
+    def wait_for(self, size: int) -> None:
+        """Leave input in the kernel until it holds so many bytes, or as many as it can; a close is still noticed."""
+        self.low_water_bytes = size
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, size)
+        except OSError:
+            pass  # already disconnected, or not supported: it is read as it comes
+
+    def arrived_bytes(self) -> int:
+        """Return the bytes that have arrived, with those that wait in the kernel for more to come."""
+        if self.low_water_bytes == 1 or self.ended:
+            return self.received
+        try:
+            waiting = fcntl.ioctl(self.fd, termios.FIONREAD, bytes(KERNEL_BYTES.size))
+        except OSError:
+            return self.received
+        return self.received + int(KERNEL_BYTES.unpack(waiting)[0])
+
+    def hold(self, parser_bytes: int, body_bytes: int) -> None:
+        """Count what the protocol's parser and the owner of a message hold of this stream's bytes."""
+        self.parser_bytes, self.body_bytes = parser_bytes, body_bytes
+        self.count_held()
+
+    def count_held(self) -> None:
+        """Bring the memory budget up to date."""
+        held = len(self.incoming) + len(self.outgoing) + self.parser_bytes + self.body_bytes
+        if held != self.counted_bytes:
+            self.memory.held_bytes += held - self.counted_bytes
+            self.counted_bytes = held
+
     def record_arrivals(self) -> None:
         """Keep the times of reads, for ``earliest_arrival_of``."""
         self.arrivals = deque(maxlen=MAX_ARRIVALS)
@@ -172,6 +223,8 @@
     def discard(self) -> None:
         """Drop all further input in the kernel, without copying it: bodies can be 60 MB."""
         self.discarding = True
+        if self.low_water_bytes > 1:
+            self.wait_for(1)
         self.take()
 
     def write(self, data: bytes) -> None:
@@ -201,10 +254,11 @@
         self.watch()
 
     def watch(self) -> None:
-        """Update the events that the loop watches this socket for."""
+        """Count what is held, and update the events that the loop watches this socket for."""
+        self.count_held()
         if self.ended:
             return
-        paused = len(self.incoming) > self.max_unread and not self.drop_excess
+        paused = not self.drop_excess and self.is_full()
         mask = select.EPOLLRDHUP * self.end_on_peer_close if paused else READ_EVENTS
         mask |= select.EPOLLOUT if self.outgoing or self.connecting else 0
         if mask != self.mask:
@@ -264,10 +318,10 @@
         if self.sock.fileno() < 0:
             return False
         try:
-            unacknowledged = fcntl.ioctl(self.fd, termios.TIOCOUTQ, bytes(UNACKNOWLEDGED_BYTES.size))
+            unacknowledged = fcntl.ioctl(self.fd, termios.TIOCOUTQ, bytes(KERNEL_BYTES.size))
         except OSError:
             return False
-        return bool(UNACKNOWLEDGED_BYTES.unpack(unacknowledged)[0])
+        return bool(KERNEL_BYTES.unpack(unacknowledged)[0])
 
     def give_up(self) -> None:
         """Close so that nothing more reaches the peer: a plain close still delivers what the kernel holds."""
@@ -281,6 +335,8 @@
         self.ended = True
         self.loop.unregister(self.fd)
         self.sock.close()
+        self.memory.held_bytes -= self.counted_bytes
+        self.memory, self.counted_bytes = CLOSED, 0
 
 
 def connect(loop: Loop, address: Address, notify: Callable[[], object]) -> Stream | OSError:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -13,7 +13,6 @@
 from petrelhall.decide import interface as api
 from petrelhall.decide.interface import Ending
 from petrelhall.gateway.requests import Request, RequestHandler
-from petrelhall.http.room import MAX_BUFFERED_BODY_BYTES, MAX_STREAM_BYTES, MIN_STREAM_BYTES, BodyBudget
 from petrelhall.links.attempt import AttemptProgress, AttemptResult
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, now_ms
@@ -36,27 +35,6 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-class BodyBudgetTest(unittest.TestCase):
-    """The memory budget for bodies, and how it is shared."""
-
-    def test_bodies_are_buffered_within_the_budget_and_release_it(self) -> None:
-        body_budget = BodyBudget(60.0)
-        buffered = []
-        while body_budget.reserve(MAX_BUFFERED_BODY_BYTES, 0):
-            buffered.append(MAX_BUFFERED_BODY_BYTES)
-        self.assertEqual(len(buffered), 3)  # 0.3 of 30 MB is available, and each body counts three times (its copies)
-        self.assertFalse(BodyBudget(500.0).reserve(1, MAX_BUFFERED_BODY_BYTES))
-        body_budget.release(MAX_BUFFERED_BODY_BYTES)
-        self.assertTrue(body_budget.reserve(MAX_BUFFERED_BODY_BYTES, 0))
-
-    def test_buffer_of_each_streamed_body_shrinks_with_their_number(self) -> None:
-        body_budget = BodyBudget(40.0)
-        self.assertEqual(body_budget.bytes_per_stream, MAX_STREAM_BYTES)
-        body_budget.active_streams = 100
-        self.assertLessEqual(MIN_STREAM_BYTES, body_budget.bytes_per_stream)
-        self.assertLessEqual(2 * 100 * body_budget.bytes_per_stream, 4 << 20)
-
-
 class StreamResetTest(unittest.TestCase):
     """A stream whose peer resets the connection while its read buffer is full."""
 
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -10,7 +10,7 @@
 
 from petrelhall.boxes.discovery import DiscoveryWatch
 from petrelhall.gateway import front
-from petrelhall.http import h1, reader, room
+from petrelhall.http import h1, reader
 from petrelhall.net.stream import READ_CHUNK_BYTES
 from tests.peers import build_request, build_response, format_address, open_listener, server_entry
 from tests.test_moments import HEALTH_REQUEST, GatewayPartsTestCase
@@ -150,7 +150,7 @@
 
     def test_a_streamed_request_body_in_small_chunks_waits_its_turn(self) -> None:
         self.patch(h1, SMALL_BODY_BYTES=10)
-        self.patch(room, MAX_BUFFERED_BODY_BYTES=10)
+        self.patch(h1, MAX_BUFFERED_BODY_BYTES=10)
         self.start_gateway()
         self.client(build_post(CHUNKED_BODY, Transfer_Encoding="chunked"))
         self.read(self.accept(), b"\r\n0\r\n\r\n")
@@ -179,7 +179,6 @@
 
     def test_a_streamed_answer_in_small_chunks_waits_its_turn(self) -> None:
         self.patch(h1, SMALL_BODY_BYTES=10)
-        self.pool.body_budget = room.BodyBudget(64.0)
         self.check_answer(close=False)
 
     def test_a_list_of_servers_in_small_chunks_waits_its_turn_and_is_applied(self) -> None:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -28,7 +28,6 @@
 from petrelhall.gateway.platform import ForwardedRequest, Platform
 from petrelhall.gateway.requests import RequestHandler
 from petrelhall.http.h1 import HttpRequest
-from petrelhall.http.room import BodyBudget
 from petrelhall.links import reuse
 from petrelhall.links.attempt import AttemptProgress
 from petrelhall.links.plan import ConnectionPlan
@@ -94,7 +93,6 @@
             self.counts,
             self.log_lines.append,
             max_connections,
-            BodyBudget(64.0),
         )
         self.stack.callback(gateway_listener.listener.close)
         self.stack.callback(lambda: [client.stream.close() for client in gateway_listener.clients])
