Customers are remembered up to a limit that follows from the memory

Cause: each customer was remembered for 15 s, some 2 kB each, however many came. Change: at most a fifth of the spare memory holds customers (500 at least). Beyond that those of the longest unseen are forgotten whose token buckets miss the least, as they would regain that; used-up quotas and ceilings, and open attempts, stay. Records have slots.

--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -19,7 +19,16 @@
 from petrelhall.decide.ledger import COUNTER_NAME_TTL_MS, evaluate_total
 from petrelhall.decide.retries import retry_cost
 from petrelhall.decide.slowstart import cold_start_share, initial_cold_allowance
-from petrelhall.decide.state import Customer, GatewayState, InFlightRequest, ServerState, decay, replay, spend
+from petrelhall.decide.state import (
+    IDLE_CUSTOMER_TTL_MS,
+    Customer,
+    GatewayState,
+    InFlightRequest,
+    ServerState,
+    decay,
+    replay,
+    spend,
+)
 from petrelhall.decide.waiting import RECHECK_INTERVAL_MS, WaitingRequests
 
 # Names that end in _MS are in ms, counts and shares (fractions of 1) have no unit. Names with LATENCY are normalized
@@ -76,8 +85,6 @@
 BROADCAST_BUDGET_SHARE = 0.15
 # In a large fleet: share of the messages that a peer accepts that go to single gateways, those of one customer.
 TARGETED_BUDGET_SHARE = 0.75
-# Time after which an idle customer is forgotten, so that memory stays bounded.
-IDLE_CUSTOMER_TTL_MS = 15000.0
 # Most admitted shares reported by peers that are kept, so that memory stays bounded.
 MAX_SHARES = 10000
 # Least share of requests that call the counter.
@@ -839,6 +846,7 @@
         """Record a new request and decide on it, after the counter's answer if it is asked."""
         customer, plan = self.customers.get(event.customer), self.settings.plans[event.plan]
         if customer is None:
+            self.make_room_for_customer()
             code = zlib.crc32(event.customer.encode())
             customer = Customer(plan, event.set_size, code, self.now, self.now - USAGE_REPORT_TTL_MS, event.set_first)
             reported_share = self.admit_shares.get(code, 100.0) / 100.0
@@ -852,11 +860,11 @@
                 # any. So the bucket counts from the start there, whether messages from peers have been received or not.
                 left = replay(plan, used, self.now) if peers_known or self.is_large_fleet else 0.0
                 customer.shared_bucket = max(plan.burst * customer.even_share, left)
-            customer.ceiling_bucket = (
-                customer.even_share * plan.ceiling_rate * min(IDLE_CUSTOMER_TTL_MS, self.now - self.started) / 1000.0
-            )
+            customer.ceiling_bucket = self.initial_ceiling_bucket(customer)
             customer.owned_quota = self.quota_owner.account(customer, self.now) if self.quota_owner else None
             self.customers[event.customer] = self.by_code[code] = customer
+        else:
+            self.customers[event.customer] = self.customers.pop(event.customer)  # to the end of the order
         self.refill(customer)
         # If the bucket does not fill with time, or the customer comes too seldom for its rates to be known, each
         # request earns the admitted share of its units.
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -7,13 +7,22 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections import deque
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Protocol
 
 from petrelhall.decide.interface import Action, Arrival, Effect, Ending, Plan, RequestClass, Send, Server
 
+# Time after which an idle customer is forgotten, so that memory stays bounded.
+IDLE_CUSTOMER_TTL_MS = 15000.0
+# Share of the customers that is forgotten at a time where there are too many.
+FORGET_BATCH_SHARE = 0.02
+# Fewest customers that are compared for that.
+FORGET_MIN_SAMPLE = 8
+
 
 class OwnedQuota(Protocol):
     """The part of a customer's quota and ceiling that this gateway owns, where gateways share them by ownership."""
@@ -38,7 +47,7 @@
         """Return the owned part of a customer's quota; None where the customer's token buckets decide instead."""
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class Customer:
     """One customer as this gateway knows it; token buckets hold units, rates are in units/s."""
 
@@ -122,6 +131,21 @@
         if self.owned_quota is not None:
             self.owned_quota.spend(self.refilled_at, units)
 
+    def missing_share(self, now: float, new_ceiling_bucket: float) -> float:
+        """Return the largest share of a token bucket that is used up now, which the customer would regain if forgotten.
+
+        ``new_ceiling_bucket`` holds the tokens that a new customer's ceiling begins with.
+        """
+        elapsed_s = (now - self.refilled_at) / 1000.0
+        missing = 0.0
+        if self.plan.burst > 0:
+            level = min(self.bucket / self.even_share, self.shared_bucket)
+            missing = 1.0 - (level + self.plan.rate * elapsed_s) / self.plan.burst
+        if new_ceiling_bucket > 0:
+            level = self.ceiling_bucket + self.plan.ceiling_rate * self.even_share * elapsed_s
+            missing = max(missing, 1.0 - level / new_ceiling_bucket)
+        return max(0.0, missing, float(self.throttle_rate > 0))
+
     def stop_tracking(self) -> None:
         """Discard the samples of the correlation test and lift the throttle that followed from them."""
         self.samples, self.consecutive_flags, self.throttle_rate = [], 0, 0.0
@@ -156,7 +180,7 @@
     cold_since: float | None = None  # None while the server is warm
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class Attempt:
     """One attempt to have a request served."""
 
@@ -165,7 +189,7 @@
     is_open: bool = True
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class InFlightRequest:
     """A request that is owed a final answer until ``ended`` is set."""
 
@@ -286,7 +310,8 @@
     quota_owner: QuotaOwner | None = None
     started: float = 0.0  # when this gateway started
     actions: list[Action] = field(default_factory=list)
-    customers: dict[str, Customer] = field(default_factory=dict)
+    customers: dict[str, Customer] = field(default_factory=dict)  # by name, the one seen last at the end
+    max_customers: float = math.inf  # customers that are remembered
     by_code: dict[int, Customer] = field(default_factory=dict)
     tracked_customers: dict[int, Customer] = field(default_factory=dict)  # by code: the busiest, tested for correlation
     active_customers: dict[int, Customer] = field(default_factory=dict)  # by code: those seen in the current interval
@@ -393,9 +418,40 @@
                 if not self.unknown_use[code]:
                     del self.unknown_use[code]
         for name in [n for n, c in self.customers.items() if c.seen_at < before and not c.open_attempts]:
-            code = self.customers.pop(name).code
-            self.tracked_customers.pop(code, None)
-            self.by_code.pop(code, None)
+            self.forget_customer(name)
+
+    def forget_customer(self, name: str) -> None:
+        """Drop all that is known of a customer; with its next request it starts anew."""
+        code = self.customers.pop(name).code
+        for by_code in (self.tracked_customers, self.active_customers, self.by_code):
+            by_code.pop(code, None)
+
+    def make_room_for_customer(self) -> None:
+        """Forget customers where as many are remembered as may be.
+
+        Of those seen least recently the ones go whose token buckets miss the least, since they would regain that;
+        those who have used up their quota or ceiling stay longest. Those with an open attempt stay.
+        """
+        if len(self.customers) < self.max_customers:
+            return
+        batch = max(1, int(self.max_customers * FORGET_BATCH_SHARE))
+        oldest = islice(self.customers.items(), max(FORGET_MIN_SAMPLE, 2 * batch))
+        candidates = [
+            (customer.missing_share(self.now, self.initial_ceiling_bucket(customer)), name)
+            for name, customer in oldest
+            if not customer.open_attempts
+        ]
+        for _, name in heapq.nsmallest(batch, candidates):
+            self.unsent_units.pop(self.customers[name].code, None)  # or this would grow with ever new customers
+            self.forget_customer(name)
+
+    def initial_ceiling_bucket(self, customer: Customer) -> float:
+        """Return the tokens that the ceiling of a customer begins with when it is seen for the first time.
+
+        It has been unseen for IDLE_CUSTOMER_TTL_MS, or since the start: its use before that is not known.
+        """
+        unseen_s = min(IDLE_CUSTOMER_TTL_MS, self.now - self.started) / 1000.0
+        return customer.even_share * customer.plan.ceiling_rate * unseen_s
 
 
 def decay(value: float, rest: float, half_lives: float) -> float:
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -73,6 +73,7 @@
         descriptors = max(20, min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - reserved)
         client_descriptors = int(CLIENT_SHARE * descriptors)
         self.loop.memory, max_clients = process_budget(config.memory_mb, client_descriptors)
+        self.module.max_customers = self.loop.memory.max_customers
         connection_plan = ConnectionPlan(
             operator_settings.links,
             descriptors - client_descriptors,
--- a/petrelhall/net/memory.py
+++ b/petrelhall/net/memory.py
@@ -20,6 +20,8 @@
 CONNECTION_BYTES = 6144  # of one client's connection, with the parsed head of its request
 # Memory that the process takes for each byte that counts: buffers grow in steps, and are copied when they are sent.
 OVERHEAD = 2.0
+CUSTOMER_BYTES = 1100  # of one remembered customer
+MIN_CUSTOMERS = 500
 CUSTOMER_SHARE = 0.2  # of the memory that is not reserved, for the customers that are remembered
 CLIENT_SHARE = 0.8  # of the memory that is not reserved, for the connections of clients and their least shares
 MIN_CLIENTS = 64
@@ -29,12 +31,13 @@
 class MemoryBudget:
     """Counts the bytes that are held, and tells how many more one connection may hold."""
 
-    __slots__ = ("limit_bytes", "held_bytes", "customer_bytes")
+    __slots__ = ("limit_bytes", "held_bytes", "max_customers")
 
     def __init__(self, spare_bytes: float) -> None:
         """Divide the memory that is left to the process."""
-        self.customer_bytes = max(0.0, CUSTOMER_SHARE * spare_bytes)
-        self.limit_bytes = max(MIN_LIMIT_BYTES, int((spare_bytes - self.customer_bytes) / OVERHEAD))
+        self.max_customers = max(MIN_CUSTOMERS, int(CUSTOMER_SHARE * spare_bytes / CUSTOMER_BYTES))
+        spare_bytes -= self.max_customers * CUSTOMER_BYTES
+        self.limit_bytes = max(MIN_LIMIT_BYTES, int(spare_bytes / OVERHEAD))
         self.held_bytes = 0
 
     @property
