A request id that comes again is the same request, beyond its connection and process

Cause: an id was known only while in flight, in one process; coming again it was a new request, without the time of its first run. Change: gateway/history.py records requests that must not simply run twice in a file shared by the gateway's processes, before the first attempt; the decision module gets the time and server of the first run with the arrival, and its rules for repeats hold.

--- a/petrelhall/decide/interface.py
+++ b/petrelhall/decide/interface.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -35,6 +36,11 @@
     MOOT = "moot"
 
 
+def server_number(address: str) -> int:
+    """Return the 32 bits that stand for a server's id."""
+    return zlib.crc32(address.encode())
+
+
 @dataclass(frozen=True)
 class RequestClass:
     """One class of requests; ``group`` and ``window_ms`` apply to keyed requests only."""
@@ -160,6 +166,9 @@
     repeat: bool = False
     pools: tuple[str, ...] = ()  # pools that may serve it, in order of preference; empty: all
     set_first: int = 0  # first gateway of the customer's set: ``set_size`` consecutive numbers, wrapping around
+    # When an earlier request with the same id, which may have run, was sent, and ``server_number`` of its server.
+    ran_at: float = math.inf
+    ran_on: int = 0
 
 
 @dataclass(frozen=True)
--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -792,9 +792,11 @@
         )
         if request_class.effect is Effect.REPEATABLE or request.never_ran:
             return True
-        if request_class.effect is Effect.ONCE or first_server is None or self.now > repeat_by:
+        if request_class.effect is Effect.ONCE or self.now > repeat_by:
             return False
-        return request_class.group == "all" or getattr(server, request_class.group) == getattr(
+        if request_class.group == "all":
+            return True
+        return first_server is not None and getattr(server, request_class.group) == getattr(
             first_server, request_class.group
         )
 
@@ -878,9 +880,17 @@
         request = self.in_flight[event.request] = InFlightRequest(
             event, request_class, customer, self.now, min(event.left_ms, useful_ms)
         )
+        if event.ran_at < math.inf:
+            request.first_run_at = event.ran_at
+            request.first_run_server = self.server_by_number(event.ran_on)
         if not self.query_counter(request):
             self.admit(request)
 
+    def server_by_number(self, number: int) -> api.Server | None:
+        """Return the server with a number, if it is still listed."""
+        states = self.servers.values()
+        return next((state.server for state in states if api.server_number(state.server.address) == number), None)
+
     def refusal_cause(self, request: InFlightRequest) -> str:
         """Return why a request is refused whatever its quota holds, or an empty string.
 
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -24,6 +24,7 @@
 from petrelhall.gateway.dispatch import Dispatcher
 from petrelhall.gateway.front import LISTENER_CLOSE_DELAY_MS, Listener
 from petrelhall.gateway.handover import DEFAULT_POLL_MS, MANAGED_POLL_MS, Handover
+from petrelhall.gateway.history import RequestHistory
 from petrelhall.gateway.mgmt import MAX_MANAGEMENT_CONNECTIONS, Management
 from petrelhall.gateway.peers import SHIFT_KIND, Peers
 from petrelhall.gateway.platform import Platform
@@ -90,6 +91,7 @@
         )
         self.dispatcher.handle_request_action = request_handler.deliver
         self.request_handler = request_handler
+        request_handler.history = RequestHistory(config.name, log.write)
         self.traffic_shifter: TrafficShifter | None = None
         self.peers: Peers | None = None
         self.membership: Membership | None = None
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -15,6 +15,7 @@
 
 from petrelhall.decide import interface as api
 from petrelhall.decide.interface import Ending
+from petrelhall.gateway.history import RequestHistory, RequestRecord
 from petrelhall.links.attempt import AttemptProgress, AttemptResult
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop, Steps, now_ms
@@ -165,6 +166,7 @@
         self.loop, self.handle_event, self.servers, self.counts = loop, handle_event, servers, counts
         self.retry_after_ms = retry_after_ms
         self.policy_gate: PolicyGate | None = None  # None: the policy is this gateway's own
+        self.history: RequestHistory | None = None  # None: an id that comes again is another request
         self.pool_router: PoolRouter | None = None  # None: any request may go to any server
         self.on_attempt_end: Callable[[str, Ending], None] | None = None  # notified of each attempt's server and end
         self.requests_in_flight: dict[int, InFlightRequest] = {}
@@ -194,21 +196,34 @@
         self.last_id += 1
         in_flight = self.requests_in_flight[self.last_id] = InFlightRequest(self.last_id, self.loop.this_task().wake)
         self.counts.add("taken", "requests")
+        record = None
+        if self.history is not None and not request.repeatable:
+            record = RequestRecord(self.history, request.request_id)
         try:
-            answer = yield from self.process(in_flight, request, caller)
+            if record is not None and record.earlier is not None and record.earlier.in_flight:
+                answer: Answer | None = Failed("a request of that id is in hand at another process")
+            else:
+                answer = yield from self.process(in_flight, request, caller, record)
         except Exception:
             self.handle_event(api.ClientGone(in_flight.id))  # or the module would keep the request for ever
             raise
         finally:
             del self.requests_in_flight[in_flight.id]
+            if record is not None:
+                record.close()
         self.counts.add("answered", "client_left" if answer is None else type(answer).__name__.lower())
         return answer
 
-    def process(self, in_flight: InFlightRequest, request: Request, caller: Caller) -> Steps[Answer | None]:
-        """Report the request to the decision module and carry out its actions until the final one."""
+    def process(
+        self, in_flight: InFlightRequest, request: Request, caller: Caller, record: RequestRecord | None
+    ) -> Steps[Answer | None]:
+        """Report the request to the decision module and carry out its actions until the final one.
+
+        ``record`` is that of a request that must not simply run twice.
+        """
         deadline = now_ms() + request.remaining_ms
         overdue = self.loop.at(deadline + ANSWER_GRACE_MS, in_flight.wake)
-        attempts, may_have_run = 0, False
+        attempts, may_have_run = 0, record is not None and record.earlier is not None
         if self.policy_gate is not None and not self.policy_gate.holds():
             yield from self.await_policy(self.policy_gate, in_flight, request, caller)
             if caller.gone or not self.policy_gate.holds():
@@ -228,6 +243,7 @@
                 request.is_retry,
                 pools,
                 request.set_first,
+                *((record.ran_at, record.server) if record is not None else ()),
             )
         )
         try:
@@ -264,6 +280,8 @@
                     continue  # the attempt to cancel has already ended
                 started_at = now_ms()
                 attempt_until = min(deadline, started_at + action.timeout_ms) if action.timeout_ms else deadline
+                if record is not None:
+                    record.begin_attempt(started_at, action.server)
                 result = yield from self.servers.attempt(
                     action.server,
                     request.message,
@@ -275,7 +293,10 @@
                 self.counts.add("sent", result.ending.value)
                 if self.on_attempt_end is not None:
                     self.on_attempt_end(action.server, result.ending)
-                may_have_run |= result.progress > AttemptProgress.UNWRITTEN and result.ending is not Ending.FULL
+                ran = result.progress > AttemptProgress.UNWRITTEN and result.ending is not Ending.FULL
+                may_have_run |= ran
+                if record is not None:
+                    record.end_attempt(started_at, action.server, ran)
                 gone, shutting_down = caller.gone, now_ms() >= self.answer_by  # read once, for a consistent view below
                 if gone:  # reported before the attempt's outcome, so that the module starts no further attempt
                     self.handle_event(api.ClientGone(in_flight.id))
