Of two servers listed at one address, the one that started last gets the work

Cause: between discovery's news of the new server and of the old one's end, the registry kept both; what was sent to the old one reached the new one on a new connection. Change: boxes/claims.py (pure) knows who is listed at an address; all but the one that started last, else was listed last, get no new work, and those whom a change concerns are told to the decision module with it.

--- a/petrelhall/boxes/fleet.py
+++ b/petrelhall/boxes/fleet.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
+from petrelhall.boxes.claims import AddressClaims
 from petrelhall.control.bans import Bans
 from petrelhall.decide import interface as api
 from petrelhall.net.stream import Address, parse_address
@@ -29,6 +31,7 @@
         # put back counts as started at that moment, since it was restarted meanwhile and comes back cold.
         self.exclusions = Bans("")
         self.excluded: frozenset[str] = frozenset()  # temporarily excluded: several gateways found them faulty
+        self.claims = AddressClaims()
         self.known_ids: set[str] = set()  # ids ever listed here: only those may be excluded
 
     def apply(self, listing: Any, kind: str | None = None) -> api.ServerList:
@@ -39,10 +42,17 @@
         if not isinstance(listing, dict) or not isinstance(listing.get("servers"), list):
             raise ValueError("response contains no list of servers")
         version, kind = int(listing.get("version") or 0), kind or ("full" if listing.get("full") else "delta")
-        parsed = [self.parse_entry(entry) for entry in listing["servers"]]
+        entries: list[Any] = listing["servers"]
+        parsed = [self.parse_entry(entry) for entry in entries]
+        others = [self.entries[server_id] for server_id in self.update_claims(parsed, kind)]
+        entries = entries + others
+        parsed = [
+            (self.without_work_if_superseded(server), address)
+            for server, address in parsed + [self.parse_entry(entry) for entry in others]
+        ]
         with_start_time = {
             entry["id"]
-            for entry in listing["servers"]
+            for entry in entries
             if entry.get("started_ms") is not None or self.exclusions.back_at(entry["id"])
         }
         if len(self.known_ids) > MAX_KNOWN_IDS:
@@ -50,7 +60,7 @@
         self.known_ids.update(server.address for server, _ in parsed)
         if kind != "delta":
             self.addresses, self.healthy, self.started, self.entries = {}, set(), {}, {}
-        for (server, address), entry in zip(parsed, listing["servers"], strict=True):
+        for (server, address), entry in zip(parsed, entries, strict=True):
             self.healthy.discard(server.address)
             if server.phase == "deregistered":
                 self.addresses.pop(server.address, None)
@@ -69,6 +79,28 @@
         servers = tuple(server for server, _ in parsed if kind == "delta" or server.phase != "deregistered")
         return api.ServerList(kind, servers)
 
+    def update_claims(self, parsed: list[tuple[api.Server, Address]], kind: str) -> list[str]:
+        """Record where the listed servers are, and return those not listed now that share an address, or did."""
+        if kind != "delta":
+            self.claims = AddressClaims()
+        listed = {server.address for server, _ in parsed}
+        affected: dict[str, None] = {}
+        for server, address in parsed:
+            if server.phase == "deregistered":
+                others = self.claims.remove(server.address)
+            else:
+                others = self.claims.set(server.address, address, server.since_ms)
+            affected.update(dict.fromkeys(others))
+        if kind != "delta":
+            return []
+        return [server_id for server_id in affected if server_id not in listed and server_id in self.entries]
+
+    def without_work_if_superseded(self, server: api.Server) -> api.Server:
+        """Return a server as it is used: none gets new work whose address another one has taken."""
+        if server.phase == "healthy" and self.claims.is_superseded(server.address):
+            return replace(server, phase="cordoned")
+        return server
+
     def reassign_pools(self) -> api.ServerList:
         """Assign the pools of all servers again, and return the list in the terms of the module."""
         entries = list(self.entries.values())
