--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -634,7 +634,7 @@
             unavailable = (
                 candidate.open_attempts >= max(1.0, candidate.limit * share) or self.now < candidate.ejected_until
             )
-            if not share or silent or already_tried or unavailable or not self.may_send_to(request, candidate.server):
+            if not share or silent or already_tried or unavailable or not self.may_send_to(request, candidate):
                 continue
             slowness = decay(candidate.slowness, 1.0, (self.now - candidate.measured_at) / SLOWNESS_HALF_LIFE_MS)
             # An old load report tells less than the average over all servers; a cold server is assumed idle.
@@ -779,11 +779,12 @@
 
     # Guards of the rules
 
-    def may_send_to(self, request: InFlightRequest, server: api.Server) -> bool:
+    def may_send_to(self, request: InFlightRequest, candidate: ServerState) -> bool:
         """Tell whether the effects of a request allow an attempt at a server.
 
         A request that may have run is sent again only if it is repeatable, or if it is keyed and the server is in
-        the same group as the first and the window of its key is still open.
+        the same group as the first and the window of its key is still open. A server that has started since then is
+        another one, whatever its id and address: it does not know the key.
         """
         request_class, first_server, repeat_by = (
             request.request_class,
@@ -792,11 +793,11 @@
         )
         if request_class.effect is Effect.REPEATABLE or request.never_ran:
             return True
-        if request_class.effect is Effect.ONCE or self.now > repeat_by:
+        if request_class.effect is Effect.ONCE or self.now > repeat_by or candidate.restarted_at > request.first_run_at:
             return False
         if request_class.group == "all":
             return True
-        return first_server is not None and getattr(server, request_class.group) == getattr(
+        return first_server is not None and getattr(candidate.server, request_class.group) == getattr(
             first_server, request_class.group
         )
 
--- a/petrelhall/decide/snapshot.py
+++ b/petrelhall/decide/snapshot.py
@@ -89,6 +89,7 @@
 ) -> dict[str, Any]:
     """Return a snapshot of the current state; ``active_plans`` are the plans in use, if not those of the settings."""
     plans = {id(plan): index for index, plan in enumerate(active_plans or settings.plans)}
+    starts = {address: server.server.since_ms for address, server in state.servers.items() if server.server.since_ms}
     latest = sorted(state.customers.items(), key=lambda named: named[1].seen_at)[-MAX_CUSTOMERS:]
     return {
         "form": FORMAT_VERSION,
@@ -120,6 +121,7 @@
             ]
             for address, server in state.servers.items()
         },
+        "starts": starts,
     }
 
 
@@ -143,10 +145,14 @@
             int(code): [tuple(parse_numbers(entry, 2)) for entry in used] for code, used in data["strangers"].items()
         }
         admit_shares = {int(code): parse_number(percent) for code, percent in data["shares"].items()}
+        # An older version does not say when servers started.
+        starts = {str(address): parse_number(since_ms) for address, since_ms in data.get("starts", {}).items()}
+        started_by = 0.0 if "starts" in data else math.inf
         servers = {
             address: parse_server(state.servers[address], values)
             for address, values in data["links"].items()
-            if address in state.servers
+            # One that has started since is another server: what was measured of the former one does not hold for it.
+            if address in state.servers and state.servers[address].server.since_ms <= starts.get(address, started_by)
         }
     except SnapshotError:
         raise
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -179,6 +179,11 @@
     health: dict[int, tuple[float, float]] = field(default_factory=dict)  # by class: chance of success, when updated
     cold_since: float | None = None  # None while the server is warm
 
+    @property
+    def restarted_at(self) -> float:
+        """When the server last started, or was last found to be down: its process may have changed since."""
+        return max(self.server.since_ms, self.down_at, self.cold_since or 0.0)
+
 
 @dataclass(eq=False, slots=True)
 class Attempt:
--- a/tests/test_server_identity.py
+++ b/tests/test_server_identity.py
@@ -9,7 +9,9 @@
 from petrelhall.boxes.claims import AddressClaims
 from petrelhall.boxes.fleet import ServerRegistry
 from petrelhall.decide import interface as api
+from petrelhall.decide import snapshot
 from petrelhall.decide.interface import Ending
+from petrelhall.decide.policy import Gateway
 from petrelhall.gateway.platform import ForwardedRequest
 from petrelhall.http.h1 import HttpRequest
 from petrelhall.net.loop import now_ms
@@ -119,5 +121,67 @@
         self.assertEqual(self.read(first, None), b"")  # the gateway has closed it
 
 
+class RestartedServerTest(unittest.TestCase):
+    """Repeats of keyed requests after a server of their group has started anew."""
+
+    def setUp(self) -> None:
+        self.gateway = Gateway(api.Settings((KEYED,), (PLAN,), max_attempts=5), 1)
+        self.handle(NOW, api.Started())
+        self.list_servers(0.0)
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        return self.gateway.handle(now, event)
+
+    def list_servers(self, second_since_ms: float, now: float = NOW) -> None:
+        """List two servers of one zone; the second one started at the given time."""
+        servers = (api.Server("first"), api.Server("second", since_ms=second_since_ms))
+        self.handle(now, api.ServerList("full", servers))
+
+    def first_attempt(self) -> api.Send:
+        """Have a request sent to the first server."""
+        self.handle(NOW, api.ServerList("delta", (api.Server("second", phase="cordoned"),)))
+        actions = self.handle(NOW, api.Arrival(1, 0, 0, "c", 1500.0))
+        self.handle(NOW, api.ServerList("delta", (api.Server("second"),)))
+        return next(action for action in actions if isinstance(action, api.Send))
+
+    def retry(self) -> list[type[api.Action]]:
+        """Reset the first attempt; returns the decisions."""
+        actions = self.handle(NOW + 100.0, api.Outcome(1, 0, "first", Ending.RESET, 100.0))
+        return [type(action) for action in actions if isinstance(action, api.Send | api.Fail)]
+
+    def test_a_repeat_goes_to_a_server_that_knows_the_key(self) -> None:
+        self.assertEqual(self.first_attempt().server, "first")
+        self.assertEqual(self.retry(), [api.Send])
+
+    # Guards against: a keyed repeat goes to a server that started after the first run, and runs twice (issue 53, e).
+    def test_a_repeat_does_not_go_to_a_server_that_started_after_the_first_run(self) -> None:
+        self.first_attempt()
+        self.list_servers(NOW + 50.0, NOW + 60.0)
+        self.assertEqual(self.retry(), [api.Fail])
+
+    def test_a_repeat_does_not_go_to_the_first_server_after_it_has_started_anew(self) -> None:
+        self.first_attempt()
+        servers = (api.Server("first", since_ms=NOW + 50.0), api.Server("second", phase="cordoned"))
+        self.handle(NOW + 60.0, api.ServerList("full", servers))
+        self.assertEqual(self.retry(), [api.Fail])
+
+    def test_a_repeat_does_not_go_to_a_server_found_down_after_the_first_run(self) -> None:
+        self.first_attempt()
+        second = self.gateway.servers["second"]
+        second.down_at = NOW + 50.0  # a connection failed; discovery has not told of a new start yet
+        self.assertEqual(self.retry(), [api.Fail])
+
+    # Guards against: after an upgrade a server that has started anew counts as the warm one before it (issue 53, e).
+    def test_the_measured_state_of_a_server_is_not_restored_for_one_started_since(self) -> None:
+        for server in self.gateway.servers.values():
+            server.slowness = 3.0
+        data = snapshot.take(self.gateway, self.gateway.settings, [100.0], [0.0])
+        self.gateway = Gateway(self.gateway.settings, 2)
+        self.handle(NOW, api.Started())
+        self.list_servers(NOW - 10.0)
+        snapshot.restore(self.gateway, self.gateway.settings, data, NOW)
+        self.assertEqual([self.gateway.servers[name].slowness for name in ("first", "second")], [3.0, 1.0])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_snapshot_format.py
+++ b/tests/test_snapshot_format.py
@@ -146,6 +146,7 @@
     gateway, (latency, faults) = restored()
     expected = copy.deepcopy(STORED)
     expected["at"] = 2400.0
+    expected["starts"] = {}  # added later; an older version ignores it
     expected["customers"]["alice"][-2:] = [0, [[2, 3.0, 1900.0], [1, 1.0, 2500.0]]]
     expected["customers"]["bob"][-2:] = [0, [[1, 1.0, 2500.0]]]
     assert snapshot.take(gateway, SETTINGS, latency, faults) == expected
