Streams count what they hold with fewer calls

Cause: the accounts of the memory budget were brought up to date at each change of the watched events, some seven calls a request. Change: received and taken bytes are counted where they come and go, output only where some is left unsent; bytes that the counter's client puts back are counted (Stream.put_back).

--- a/petrelhall/gateway/counter.py
+++ b/petrelhall/gateway/counter.py
@@ -99,7 +99,7 @@
             return
         if stream.incoming:
             *lines, rest = stream.take().split(b"\r\n")
-            stream.incoming += rest
+            stream.put_back(rest)
             for line in lines:
                 if not self.sent:
                     return self.disconnect()  # a reply without a call: replies no longer match calls
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -116,9 +116,11 @@
             else:
                 self.connecting = False
                 self.flush()
+                self.count_held()
         else:
             if mask & select.EPOLLOUT:
                 self.flush()
+                self.count_held()
             if mask & select.EPOLLRDHUP and self.end_on_peer_close:
                 self.end(0)  # nobody needs the data before the close any more
             elif mask & HANGUP_EVENTS and self.is_full():
@@ -129,7 +131,7 @@
 
     def receive(self) -> None:
         """Read once; the caller has polled whether the peer has closed (``handle_ready``)."""
-        full = self.is_full()
+        full = bool(self.incoming) and self.is_full()
         if self.ended or self.connecting or (full and not self.drop_excess):
             return self.watch()
         try:
@@ -151,15 +153,17 @@
             return self.end(error.errno or errno.EIO)
         if not data:
             return self.end(0)
-        self.received += len(data)
+        size = len(data)
+        self.received += size
         self.incoming += data
-        self.count_held()
+        self.counted_bytes += size
+        self.memory.held_bytes += size
         # Data received with or before the registration may have waited for as long as the connection itself.
         new = self.registered_at >= self.loop.previous_poll_at
         self.earliest_arrival_at = self.queued_since if new else self.loop.earliest_ready_at
         if self.arrivals is not None:
             self.arrivals.append((self.received, self.earliest_arrival_at))
-        if self.is_full():
+        if len(self.incoming) > size or size > MIN_SHARE_BYTES or size > self.max_unread:
             self.watch()
 
     def is_full(self) -> bool:
@@ -217,9 +221,16 @@
         """Return and remove the bytes received and not yet read, or the first of them."""
         data = bytes(memoryview(self.incoming)[:max_bytes])  # a slice of the buffer itself would be copied twice
         del self.incoming[:max_bytes]
+        self.counted_bytes -= len(data)
+        self.memory.held_bytes -= len(data)
         self.watch()
         return data
 
+    def put_back(self, data: bytes) -> None:
+        """Return bytes that were taken and are not complete yet; they are read again with what follows."""
+        self.incoming[:0] = data
+        self.count_held()
+
     def discard(self) -> None:
         """Drop all further input in the kernel, without copying it: bodies can be 60 MB."""
         self.discarding = True
@@ -230,9 +241,12 @@
     def write(self, data: bytes) -> None:
         """Send as much as possible now and buffer the rest."""
         if not self.ended:
+            had_unsent = bool(self.outgoing)
             self.outgoing += data
             if not self.connecting:
                 self.flush()
+            if self.outgoing or had_unsent:
+                self.count_held()
 
     def limit_send_buffer(self, size: int) -> None:
         """Limit how much the kernel holds to be sent, which otherwise grows to some MB."""
@@ -254,11 +268,10 @@
         self.watch()
 
     def watch(self) -> None:
-        """Count what is held, and update the events that the loop watches this socket for."""
-        self.count_held()
+        """Update the events that the loop watches this socket for."""
         if self.ended:
             return
-        paused = not self.drop_excess and self.is_full()
+        paused = bool(self.incoming) and not self.drop_excess and self.is_full()
         mask = select.EPOLLRDHUP * self.end_on_peer_close if paused else READ_EVENTS
         mask |= select.EPOLLOUT if self.outgoing or self.connecting else 0
         if mask != self.mask:
