In an upgrade, requests that come 0.7 s after SIGTERM and later go to the new process

Cause: idle connections stayed open until 0.7 s before the last answers were due; what came until then was taken. Change: they are closed 0.45 to 0.6 s after SIGTERM, in thirty batches, each checked for a request right before.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -61,9 +61,11 @@
 # Both after the request to stop: new clients still arrive for up to 400 ms.
 DRAIN_DELAY_MS = 450.0
 LISTENER_CLOSE_DELAY_MS = 800.0
-# After a handover, idle connections stay open until this long before the last answers are due. A client that sends a
-# request before then learns from its answer that the connection closes, so no close crosses a request.
-IDLE_CLOSE_LEAD_MS = 700.0
+# After a handover and SIGTERM, idle connections are closed from HANDOVER_CLOSE_DELAY_MS on, within
+# HANDOVER_CLOSE_DURATION_MS. A request that comes later than 0.7 s after SIGTERM goes to the new process, which has
+# the time for a large answer. One that comes before learns from its answer that the connection closes.
+HANDOVER_CLOSE_DELAY_MS = 450.0
+HANDOVER_CLOSE_DURATION_MS = 150.0
 IDLE_CLOSE_INTERVAL_MS = 5.0  # between two batches of idle connections that are closed, the longest idle first
 # After SIGTERM, the old process of an upgrade is killed once the longest deadline (at most 3 s) and 0.7 s have passed.
 # Requests accepted after SIGTERM must be answered before that, with time left to write the answer.
@@ -554,7 +556,7 @@
         self.answer_by = now_ms() + min(longest_ms, KILL_DEADLINE_CAP_MS) + KILL_GRACE_MS - ANSWER_WRITE_MS
         self.request_handler.answer_all_by(self.answer_by)
         if self.handed_over:
-            self.loop.at(self.answer_by - IDLE_CLOSE_LEAD_MS, self.close_longest_idle)
+            self.loop.after(HANDOVER_CLOSE_DELAY_MS, self.close_longest_idle)
         else:
             self.loop.after(DRAIN_DELAY_MS, self.start_draining)
             self.loop.after(LISTENER_CLOSE_DELAY_MS, self.close_idle_connections)
@@ -570,21 +572,23 @@
         for client in list(self.clients):
             client.stream.notify()
 
-    def close_longest_idle(self) -> None:
+    def close_longest_idle(self, batch: int = 0) -> None:
         """Close a batch of idle connections, the longest idle first, and schedule the next batch.
 
         Each connection is checked for a request right before it is closed. One with a partly received request is
-        not idle: it closes with its answer.
+        not idle: it closes with its answer. ``batch`` 0 stands for the first one, which sets the size of all.
         """
         idle = sorted(
             (client for client in self.clients if not client.busy and not client.http.request_started),
             key=lambda client: client.idle_since,
         )
-        for client in idle[:EVICTION_BATCH]:
+        batches = int(HANDOVER_CLOSE_DURATION_MS / IDLE_CLOSE_INTERVAL_MS)
+        batch = batch or max(EVICTION_BATCH, len(idle) // batches + 1)
+        for client in idle[:batch]:
             client.expires_at = 0.0
             client.stream.notify()
         if idle:
-            self.loop.after(IDLE_CLOSE_INTERVAL_MS, self.close_longest_idle)
+            self.loop.after(IDLE_CLOSE_INTERVAL_MS, lambda: self.close_longest_idle(batch))
 
     def close(self) -> None:
         """Accept the connections left in the kernel's queue, then close the listening socket. Idempotent."""
