--- a/petrelhall/boxes/fleet.py
+++ b/petrelhall/boxes/fleet.py
@@ -21,6 +21,7 @@
     def __init__(self, zone_names: tuple[str, ...]) -> None:
         self.zone_indices = {name: index for index, name in enumerate(zone_names)}
         self.version = 0
+        self.from_discovery = False  # whether the list is discovery's own, not one handed over at the start
         self.addresses: dict[str, Address] = {}
         self.healthy: set[str] = set()
         self.started: dict[str, float | None] = {}  # Unix ms; 0: long ago; None: not in the list
@@ -72,7 +73,7 @@
             self.started[server.address] = server.since_ms if server.address in with_start_time else None
             if server.phase == "healthy":
                 self.healthy.add(server.address)
-        self.version = version
+        self.version, self.from_discovery = version, self.from_discovery or kind != "cached"
         self.on_change()
         # A full list contains only present servers: the module drops those missing from it by itself, and knows
         # deregistered servers only in deltas.
@@ -101,10 +102,13 @@
             return replace(server, phase="cordoned")
         return server
 
+    def listing(self) -> dict[str, Any]:
+        """Return the current list in the form of a response of discovery."""
+        return {"version": self.version, "full": True, "servers": list(self.entries.values())}
+
     def reassign_pools(self) -> api.ServerList:
         """Assign the pools of all servers again, and return the list in the terms of the module."""
-        entries = list(self.entries.values())
-        return self.apply({"version": self.version, "full": False, "servers": entries})
+        return self.apply(self.listing() | {"full": False})
 
     def parse_entry(self, entry: Any) -> tuple[api.Server, Address]:
         """Parse the entry of one server (ValueError)."""
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -50,6 +50,7 @@
 RESERVED_DESCRIPTORS = 40  # for everything but client and server connections, with some spare
 SHUTDOWN_MARGIN_MS = 2000.0  # after the last request's deadline, before clients without a request are left
 SHUTDOWN_CHECK_INTERVAL_MS = 100.0  # from then on, between two checks for clients that still get an answer
+SERVER_LIST_KEY = "list"  # of the snapshot: discovery's list, in its form
 GC_THRESHOLD_OBJECTS = 20000  # net container allocations between two runs of the cycle collector
 CLIENT_SHARE = 0.6  # of the descriptors that are not reserved; server connections get the rest
 
@@ -434,6 +435,7 @@
         data = self.handover.join()
         if data is None:
             return
+        self.restore_server_list(data)
         try:
             latency, faults = snapshot.restore(self.module, self.config.settings, data, now_ms())
         except snapshot.SnapshotError as error:
@@ -446,8 +448,27 @@
             f"{len(data['links'])} servers"
         )
 
+    def restore_server_list(self, data: Any) -> None:
+        """Start from the list of the process being replaced, which is newer than the configuration's.
+
+        Discovery may be down now: what it told the former process, such as drains, binds this one as well.
+        """
+        listing = data.get(SERVER_LIST_KEY) if isinstance(data, dict) else None
+        if listing is None:
+            return
+        try:
+            self.dispatcher.dispatch(self.registry.apply(listing, "cached"))
+            self.registry.from_discovery = True
+        except (ValueError, TypeError) as error:
+            self.log.write(f"ignoring the server list of the process being replaced: {error}")
+
     def take_snapshot(self) -> dict[str, Any]:
         """Return the state that the next process of this gateway can restore."""
+        server_list = {SERVER_LIST_KEY: self.registry.listing()} if self.registry.from_discovery else {}
+        return server_list | self.take_module_snapshot()
+
+    def take_module_snapshot(self) -> dict[str, Any]:
+        """Return the state of the decision module."""
         classes = self.config.settings.classes
         return snapshot.take(
             self.module,
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import os
+import select
 import signal
 import socket
 import subprocess
@@ -17,7 +19,16 @@
 from petrelhall.gateway.peers import Peers
 from petrelhall.net.counts import Counts
 from petrelhall.net.loop import Loop
-from tests.peers import WAIT_TIMEOUT_S, GatewayTestCase, build_request, build_response, open_listener, read_message
+from tests.peers import (
+    WAIT_TIMEOUT_S,
+    GatewayTestCase,
+    build_request,
+    build_response,
+    format_address,
+    open_listener,
+    read_message,
+    server_entry,
+)
 
 
 class ReadyMarkerTest(unittest.TestCase):
@@ -135,6 +146,28 @@
         self.assertIsNone(second.poll())
         self.program = second
 
+    # Guards against: an upgrade during an outage of discovery forgets a drain that the old process knows (review/10).
+    def test_a_drain_that_discovery_told_the_old_process_binds_the_new_one_while_discovery_is_down(self) -> None:
+        discovery, draining, usual = self.listener(), self.listener(), self.listener()
+        first = self.start(draining, usual, discovery=format_address(discovery))  # both are listed as ready
+        connection = self.accept(discovery)
+        read_message(connection)
+        entries = [
+            server_entry("s0", format_address(draining), "Terminating"),
+            server_entry("s1", format_address(usual)),
+        ]
+        connection.sendall(build_response(json.dumps({"version": 2, "full": True, "servers": entries}).encode()))
+        self.assertIn(b"after=2", read_message(connection))  # from here on discovery is silent
+        self.program = self.start_second_process()
+        _, log_output = first.communicate(timeout=WAIT_TIMEOUT_S)
+        self.assertIn("a newer process of this gateway is ready", log_output)
+        # None is answered before all are sent, so that they would spread over both servers.
+        clients = [self.client(build_request(number)) for number in range(2, 10)]
+        for _ in clients:
+            at_server = self.accept(select.select([draining, usual], [], [], WAIT_TIMEOUT_S)[0][0])
+            self.assertEqual(at_server.getsockname(), usual.getsockname())
+            read_message(at_server)
+
     # Guards against: the old process takes a request 1 s after SIGTERM; SIGKILL cuts its large answer off (review/7).
     def test_a_request_that_comes_long_after_sigterm_has_its_large_answer_from_the_new_process(self) -> None:
         server = self.listener()
