In an upgrade the two processes share the gateway's part of each ceiling

Whichever is left alone takes its part back. The new tests use what is added; both spend twice without it.

--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -264,9 +264,9 @@
             earned = own_share * elapsed_s * plan.rate * min(1.0, plan.rate / total_rate)
             customer.bucket = min(max(self.settings.largest_units, plan.burst * own_share), customer.bucket + earned)
         unused_rate = plan.rate - customer.others_rate * self.uses_meter
-        customer.add_tokens(
-            elapsed_s, max(0.0, unused_rate), plan.ceiling_rate * even_share, plan.ceiling_burst * even_share
-        )
+        ceiling_share = even_share * self.ceiling_part
+        ceiling_rate = plan.ceiling_rate * ceiling_share * self.fills_ceilings
+        customer.add_tokens(elapsed_s, max(0.0, unused_rate), ceiling_rate, plan.ceiling_burst * ceiling_share)
         stale = not self.uses_meter or self.now - customer.others_reported_at > USAGE_REPORT_TTL_MS
         customer.decay_rates(math.exp(-elapsed_s * 1000.0 / RATE_DECAY_MS), stale)
 
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -317,6 +317,9 @@
     actions: list[Action] = field(default_factory=list)
     customers: dict[str, Customer] = field(default_factory=dict)  # by name, the one seen last at the end
     max_customers: float = math.inf  # customers that are remembered
+    # Part of this gateway's share of the ceilings that this process may spend: during an upgrade there are two.
+    ceiling_part: float = 1.0
+    fills_ceilings: bool = True  # not in a process that is replaced: it spends what it has left
     by_code: dict[int, Customer] = field(default_factory=dict)
     tracked_customers: dict[int, Customer] = field(default_factory=dict)  # by code: the busiest, tested for correlation
     active_customers: dict[int, Customer] = field(default_factory=dict)  # by code: those seen in the current interval
@@ -456,7 +459,15 @@
         It has been unseen for IDLE_CUSTOMER_TTL_MS, or since the start: its use before that is not known.
         """
         unseen_s = min(IDLE_CUSTOMER_TTL_MS, self.now - self.started) / 1000.0
-        return customer.even_share * customer.plan.ceiling_rate * unseen_s
+        part = self.ceiling_part if self.fills_ceilings else 0.0
+        return part * customer.even_share * customer.plan.ceiling_rate * unseen_s
+
+    def give_away_ceilings(self) -> None:
+        """Leave half of what this process may spend of ceilings to another one, which holds a copy of this state."""
+        self.ceiling_part /= 2.0
+        for customer in self.customers.values():
+            # What is overdrawn is owed by both: neither may spend before it is repaid.
+            customer.ceiling_bucket = min(customer.ceiling_bucket, customer.ceiling_bucket / 2.0)
 
 
 def decay(value: float, rest: float, half_lives: float) -> float:
--- a/petrelhall/gateway/handover.py
+++ b/petrelhall/gateway/handover.py
@@ -22,6 +22,7 @@
 
 MANAGED_POLL_MS = 50.0  # between two polls where operators have a management address, and so can start an upgrade
 DEFAULT_POLL_MS = 250.0  # between two polls elsewhere
+READ_WITHIN_POLLS = 2.0  # polls within which the other process has read a marker
 ADDRESS_WAIT_MS = 3000.0  # a process that is ending has released the clients' address within this time
 SNAPSHOT_WAIT_MS = 300.0  # the old process must deliver its snapshot within this time, before the new one listens
 WAIT_STEP_S = 0.005
@@ -36,6 +37,9 @@
         # joined: this process found a serving one and takes over from it
         self.marker_written = self.replaced = self.joined = False
         self.snapshot_pid = 0  # pid of the process that a snapshot was written for
+        self.partner_pid = 0  # the other process of the upgrade, as long as it exists
+        # Called once the other process has ended, or knows that this one takes over.
+        self.on_alone: Callable[[], None] = lambda: None
         prefix = os.path.join(tempfile.gettempdir(), f"petrelhall-{gateway}-")
         self.ready_path, self.join_path, self.snapshot_path = (
             f"{prefix}{name}.json" for name in ("ready", "joins", "snapshot")
@@ -48,7 +52,7 @@
         serving = marked(read_file(self.ready_path))
         if serving is None or serving == self.pid or not is_alive(serving):
             return None
-        self.joined = True
+        self.joined, self.partner_pid = True, serving
         if not self.write_file(self.join_path, mark(self.pid, self.started)):
             return None
         deadline = now_ms() + SNAPSHOT_WAIT_MS
@@ -94,6 +98,9 @@
 
     def poll(self) -> None:
         """Poll now and again after each interval, until a newer process has taken over."""
+        if self.partner_pid and not is_alive(self.partner_pid):
+            self.partner_pid = 0
+            self.on_alone()
         if not self.replaced:
             self.loop.after(self.poll_ms, self.poll)
             self.poll_now()
@@ -120,7 +127,7 @@
         if succeeded(data, self.pid, self.started):
             joining_pid = marked(data)
             if joining_pid is not None and joining_pid != self.snapshot_pid:
-                self.snapshot_pid = joining_pid
+                self.snapshot_pid = self.partner_pid = joining_pid
                 self.write_file(self.snapshot_path, letter(joining_pid, self.snapshot()))
 
     def write_ready_marker(self) -> None:
@@ -131,6 +138,8 @@
         if not self.marker_written:
             self.marker_written = True  # also if the write fails: a read-only directory stays read-only
             self.write_file(self.ready_path, mark(self.pid, self.started))
+            if self.joined:
+                self.loop.after(READ_WITHIN_POLLS * self.poll_ms, lambda: self.on_alone())
 
     def write_file(self, path: str, data: bytes) -> bool:
         """Write a file atomically; return whether that succeeded."""
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -50,6 +50,7 @@
 RESERVED_DESCRIPTORS = 40  # for everything but client and server connections, with some spare
 SHUTDOWN_MARGIN_MS = 2000.0  # after the last request's deadline, before clients without a request are left
 SHUTDOWN_CHECK_INTERVAL_MS = 100.0  # from then on, between two checks for clients that still get an answer
+UPGRADE_CEILING_PART = 0.5  # of this gateway's ceilings, for each of the two processes of an upgrade
 SERVER_LIST_KEY = "list"  # of the snapshot: discovery's list, in its form
 GC_THRESHOLD_OBJECTS = 20000  # net container allocations between two runs of the cycle collector
 CLIENT_SHARE = 0.6  # of the descriptors that are not reserved; server connections get the rest
@@ -433,6 +434,9 @@
     def restore_snapshot(self) -> None:
         """In an upgrade, restore the state of the process being replaced, before any client can connect."""
         data = self.handover.join()
+        self.handover.on_alone = self.take_back_ceilings
+        if self.handover.joined:
+            self.module.ceiling_part = UPGRADE_CEILING_PART
         if data is None:
             return
         self.restore_server_list(data)
@@ -463,10 +467,15 @@
             self.log.write(f"ignoring the server list of the process being replaced: {error}")
 
     def take_snapshot(self) -> dict[str, Any]:
-        """Return the state that the next process of this gateway can restore."""
+        """Return the state that the next process of this gateway can restore, with half of the ceilings."""
+        self.module.give_away_ceilings()
         server_list = {SERVER_LIST_KEY: self.registry.listing()} if self.registry.from_discovery else {}
         return server_list | self.take_module_snapshot()
 
+    def take_back_ceilings(self) -> None:
+        """Fill all of this gateway's part of the ceilings again: the other process of the upgrade fills none."""
+        self.module.ceiling_part = 1.0
+
     def take_module_snapshot(self) -> dict[str, Any]:
         """Return the state of the decision module."""
         classes = self.config.settings.classes
@@ -480,6 +489,7 @@
 
     def hand_over(self) -> None:
         """Leave new connections and peer messages to a newer process that is ready; exit with the last client."""
+        self.module.fills_ceilings = False
         if self.membership is not None:
             self.membership.hand_over()
         if self.quota_sharing is not None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,6 +7,7 @@
 import random
 import tempfile
 import threading
+import time
 import unittest
 import unittest.mock
 from dataclasses import replace
@@ -16,9 +17,10 @@
 
 from petrelhall.control.handover import handed, letter, mark, marked
 from petrelhall.decide import snapshot
-from petrelhall.decide.interface import Ending, PeerMessage, Plan, Refuse, Send
+from petrelhall.decide.interface import Alarm, Ending, PeerMessage, Plan, Refuse, Send
 from petrelhall.gateway.handover import Handover
 from petrelhall.net.loop import Loop
+from tests.peers import WAIT_TIMEOUT_S
 from tests.test_policy import SETTINGS, GatewayHarness, send_actions
 
 PLANS = Plan(rate=2, burst=8, max_open=3), Plan(rate=100, burst=100, ceiling_rate=4, ceiling_burst=8)
@@ -81,6 +83,42 @@
         new.now += 1000.0  # the old process has finished them, or no longer reports them
         self.assertTrue(send_actions(new.feed(PeerMessage(1, b"\x02\x00"))) or isinstance(new.submit(set_size=1), Send))
 
+    def spend_ceiling(self, *harnesses: GatewayHarness) -> float:
+        """Submit requests of the plan with a ceiling until all are refused for it; returns the units sent."""
+        units = 0.0
+        for harness in harnesses:
+            while isinstance(send := harness.submit(plan=1, customer="c", set_size=1), Send):
+                harness.report_outcome(send, Ending.OK)
+                units += 1.0
+            self.assertEqual(send.cause if isinstance(send, Refuse) else "", "ceiling")
+        return units
+
+    # Guards against: in an upgrade both processes spend the gateway's one part of a customer's ceiling (review/9).
+    def test_both_processes_of_an_upgrade_together_spend_one_part_of_a_ceiling(self) -> None:
+        settings = replace(PEERS, gateways=1, peers=False)
+        old, new = GatewayHarness(settings), GatewayHarness(settings)
+        old.now += 60000.0
+        old.report_outcome(old.submit(plan=1, customer="c", set_size=1), Ending.OK)  # type: ignore[arg-type]
+        old.now += 60000.0
+        new.now = old.now
+        old.feed(Alarm(99))  # brings the time of the module up to date
+        old.gateway.refill(old.gateway.customers["c"])
+        old.gateway.give_away_ceilings()
+        snapshot.restore(new.gateway, settings, transferred_snapshot(old), new.now)
+        new.gateway.ceiling_part = old.gateway.ceiling_part
+        self.assertLessEqual(self.spend_ceiling(old, new), PLANS[1].ceiling_burst)
+        # From when the new process is ready, only that one fills its part, and all of it.
+        old.gateway.fills_ceilings, new.gateway.ceiling_part = False, 1.0
+        old.now = new.now = old.now + 1000.0
+        self.assertEqual((self.spend_ceiling(old), self.spend_ceiling(new)), (0.0, PLANS[1].ceiling_rate))
+
+    def test_an_overdrawn_ceiling_is_not_repaid_by_an_upgrade(self) -> None:
+        harness = GatewayHarness(PEERS)
+        customer = harness.add_customer("c")
+        customer.ceiling_bucket = -2.0
+        harness.gateway.give_away_ceilings()
+        self.assertEqual(customer.ceiling_bucket, -2.0)
+
     def test_malformed_snapshot_or_one_of_other_settings_is_rejected_whole(self) -> None:
         good = transferred_snapshot(self.used_gateway())
         cases: list[Any] = [
@@ -152,6 +190,18 @@
         third = self.process(4321, 3000.0)  # the snapshot is addressed to another process, and no new one is written
         self.assertIsNone(third.join())
 
+    def test_a_process_is_alone_once_the_other_has_ended_or_knows_that_it_is_replaced(self) -> None:
+        for partner, becomes_ready in ((2**22 - 3, False), (os.getppid(), True)):  # the first is no process
+            with self.subTest(partner=partner):
+                loop, handover, alone = Loop(print), self.process(os.getpid(), 2000.0), list[bool]()
+                handover.joined, handover.partner_pid = True, partner
+                handover.on_alone = lambda alone=alone: alone.append(True)  # type: ignore[misc]
+                handover.watch(loop, 5.0, lambda ready=becomes_ready: ready, lambda: None, dict)  # type: ignore[misc]
+                until = time.monotonic() + WAIT_TIMEOUT_S
+                while not alone and time.monotonic() < until:
+                    loop.turn()
+                self.assertTrue(alone)
+
     def test_join_does_not_wait_where_no_process_serves(self) -> None:
         self.assertIsNone(self.process(10, 1.0).join())
         stale = self.process(os.getpid(), 1.0)
