--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -128,6 +128,20 @@
         at_server.sendall(build_response(body))
         return read_message(client)
 
+    def start_and_replace(self) -> tuple[socket.socket, subprocess.Popen[str], socket.socket, socket.socket]:
+        """Serve one request, then start a second process and wait until the first one knows that it is ready.
+
+        Returns the listening server, the first process, and the client's and the server's connection of the request.
+        """
+        server = self.listener()
+        first = self.start(server)
+        client = self.client(build_request(1))
+        at_server = self.accept(server)
+        self.answer_request(at_server, client, b"one")
+        self.start_second_process()
+        self.wait_for_log("a newer process of this gateway is ready")
+        return server, first, client, at_server
+
     def test_an_idle_client_keeps_its_connection_during_an_upgrade_until_its_next_request(self) -> None:
         server = self.listener()
         first = self.start(server)
@@ -170,13 +184,7 @@
 
     # Guards against: the old process takes a request 1 s after SIGTERM; SIGKILL cuts its large answer off (review/7).
     def test_a_request_that_comes_long_after_sigterm_has_its_large_answer_from_the_new_process(self) -> None:
-        server = self.listener()
-        first = self.start(server)
-        client = self.client(build_request(1))
-        at_server = self.accept(server)
-        self.answer_request(at_server, client, b"one")
-        self.start_second_process()
-        self.wait_for_log("a newer process of this gateway is ready")
+        server, first, client, _ = self.start_and_replace()
         stopped_at = time.monotonic()
         first.send_signal(signal.SIGTERM)
         self.assertEqual(client.recv(1), b"")  # closed in order, so that the client asks again on a new connection
@@ -193,13 +201,7 @@
         self.assertIsNotNone(first.poll())
 
     def test_a_request_half_received_when_idle_connections_are_closed_is_still_answered(self) -> None:
-        server = self.listener()
-        first = self.start(server)
-        client = self.client(build_request(1))
-        at_server = self.accept(server)
-        self.answer_request(at_server, client, b"one")
-        self.start_second_process()
-        self.wait_for_log("a newer process of this gateway is ready")
+        _, first, client, at_server = self.start_and_replace()
         first.send_signal(signal.SIGTERM)
         time.sleep(0.25)  # idle connections are closed 0.45 s after SIGTERM
         client.sendall(build_request(2)[:40])
