A response's buffer limit is worked out only where there is a body

Cause: it was worked out at each look for a response. Change: HttpClientConnection.buffer_limit, asked with a stated length or a part of a body.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -91,7 +91,7 @@
     healthy: bool
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Outcome:
     """What became of a request: its answer, and whether its connection closes after it (``last``).
 
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -406,7 +406,6 @@
         """
         if not self.reader.has_input and not self.stream.ended:
             return None
-        max_bytes = max_bytes or min(SMALL_BODY_BYTES, self.stream.memory.share_bytes + self.stream.body_bytes)
         try:
             while True:
                 event = self.reader.next_event()
@@ -430,11 +429,11 @@
                         return HttpError(502, "answer too large")
                     if length:
                         self.reader.expect_body(length)
-                    if (length or 0) > max_bytes:
+                    if length and length > self.buffer_limit(max_bytes):
                         return self.start_streaming()
                 elif isinstance(event, h11.Data):
                     self.body += event.data
-                    if len(self.body) > max_bytes:
+                    if len(self.body) > self.buffer_limit(max_bytes):
                         return self.start_streaming()
                     self.stream.body_bytes = len(self.body)
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
@@ -448,6 +447,10 @@
         except h11.RemoteProtocolError as error:
             return HttpError(502, str(error))
 
+    def buffer_limit(self, max_bytes: int) -> int:
+        """Return how many bytes of a response are buffered: ``max_bytes``, or what the memory budget allows for 0."""
+        return max_bytes or min(SMALL_BODY_BYTES, self.stream.memory.share_bytes + self.stream.body_bytes)
+
     @property
     def has_unknown_length(self) -> bool:
         """Whether the head of a response has come that does not state the length of its body."""
