A streamed body that stalls is closed on at once again at the limit of clients

Splitting handle_next_request lost that a 408 for a body that is passed on, too, skips the orderly close while clients wait for a descriptor. Change: its outcome is marked as timed out, as had it. Measured: no test reached this before or does now; the tests of bodies, moments and passing on pass with it.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -349,7 +349,7 @@
         # A body that the client broke off is the client's error, whatever became of the attempt.
         if body_rest is not None and body_rest.error is not None:
             self.counts.add("answered", f"bad_{body_rest.error.status}")
-            return Outcome(body_rest.error, True)
+            return Outcome(body_rest.error, True, body_rest.error.status == 408)
         return Outcome(answer, self.is_last_answer(client))
 
     def parse_request(self, client: Client, received: HttpRequest | HttpError) -> Request | HttpError:
