Tests start a second process and read the peak of memory in one place

Cause: found on reading the change again: four tests started a second process by the same lines, two files read VmHWM by the same ones; request_cpu.py had an unused constant and a parameter with one value; AddressClaims compared indexes where the order says it. Change: GatewayTestCase.start_process and peak_mb; the loser at an address is found by max over the reversed order.

--- a/benchmarks/request_cpu.py
+++ b/benchmarks/request_cpu.py
@@ -7,19 +7,17 @@
 
 import argparse
 import asyncio
-import os
 import re
 import statistics
 import time
 
-from benchmarks.greedy_peers import Gateway, Serve, request
+from benchmarks.greedy_peers import Gateway, request
 
 CLIENTS = 8
 CUSTOMERS = 200
 WARM_UP_REQUESTS = 500
 PAUSE_S = 0.03  # between an answer and the client's next request
 BODY = b"x" * 200
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -58,9 +56,9 @@
     return served
 
 
-async def measure(program: str, requests: int, memory_mb: float, serve_one: Serve) -> tuple[float, int]:
+async def measure(program: str, requests: int, memory_mb: float) -> tuple[float, int]:
     """Return the CPU of a request in microseconds, and how many were not served."""
-    async with Gateway(serve_one, program, memory_mb) as gateway:
+    async with Gateway(serve, program, memory_mb) as gateway:
         clients = range(CLIENTS)
         await asyncio.gather(*(ask(gateway, CLIENTS + client, WARM_UP_REQUESTS // CLIENTS) for client in clients))
         before = cpu_s(gateway.pid)
@@ -81,7 +79,7 @@
     results: dict[str, list[float]] = {program: [] for program in options.programs}
     for _ in range(options.rounds):
         for program in options.programs:
-            cpu_us, not_served = asyncio.run(measure(program, options.requests, options.memory, serve))
+            cpu_us, not_served = asyncio.run(measure(program, options.requests, options.memory))
             results[program].append(cpu_us)
             print(
                 f"{time.strftime('%H:%M:%S')} {program}: {cpu_us:.0f} us a request, {not_served} not served", flush=True
--- a/petrelhall/boxes/claims.py
+++ b/petrelhall/boxes/claims.py
@@ -45,6 +45,5 @@
         claimants = self.claimants[address] if address is not None else []
         if len(claimants) < 2:
             return False
-        return max(range(len(claimants)), key=lambda index: (self.started[claimants[index]], index)) != (
-            claimants.index(server)
-        )
+        # Of those that started at the same time, the last one.
+        return max(reversed(claimants), key=self.started.__getitem__) != server
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -151,13 +151,28 @@
         with open(path, "w") as file:
             json.dump(config, file)
         self.config = config
-        command = [sys.executable, "-m", "petrelhall", *arguments]
-        self.program = subprocess.Popen(
-            command, env={**os.environ, "EDGE_CONFIG": path}, text=True, stderr=subprocess.PIPE
-        )
+        self.program = self.start_process(*arguments)
         self.stack.callback(self.kill_gateway)
         return self.program
 
+    def start_process(self, *arguments: str, **environment: str) -> subprocess.Popen[str]:
+        """Start a process of the gateway, beside one that runs or after it; it is killed in the end."""
+        program = subprocess.Popen(
+            [sys.executable, "-m", "petrelhall", *arguments],
+            env={**os.environ, "EDGE_CONFIG": self.config_path, **environment},
+            text=True,
+            stderr=subprocess.PIPE,
+        )
+        self.stack.callback(lambda: program.poll() is None and program.kill())
+        return program
+
+    def peak_mb(self) -> float:
+        """Return the most memory of the process that was ever resident, in MiB."""
+        with open(f"/proc/{self.program.pid}/status") as file:
+            peak = re.search(r"VmHWM:\s+(\d+)", file.read())
+        assert peak is not None
+        return int(peak[1]) / 1024.0
+
     def reload(self, content: str) -> None:
         """Replace the configuration file and send SIGHUP."""
         with open(self.config_path, "w") as file:
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import time
 import unittest
 from itertools import repeat
@@ -117,10 +116,7 @@
                     data = client.recv(65536)
                     self.assertTrue(data)
                     received += data
-        with open(f"/proc/{self.program.pid}/status") as file:
-            peak = re.search(r"VmHWM:\s+(\d+)", file.read())
-        assert peak is not None
-        self.assertLess(int(peak[1]) / 1024.0, LEAST_MEMORY_MB)
+        self.assertLess(self.peak_mb(), LEAST_MEMORY_MB)
 
 
 if __name__ == "__main__":
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -7,13 +7,10 @@
 import os
 import signal
 import socket
-import subprocess
-import sys
 import tempfile
 import time
 import unittest
 import unittest.mock
-from typing import Any
 
 from petrelhall.decide import interface as api
 from petrelhall.decide.interface import server_number
@@ -188,9 +185,7 @@
     def test_an_id_that_ran_at_the_process_before_an_upgrade_is_refused_after_its_window(self) -> None:
         server = self.start_keyed()
         self.send_and_leave(server)
-        first, environment = self.program, {**os.environ, "EDGE_CONFIG": self.config_path}
-        command: list[Any] = [sys.executable, "-m", "petrelhall"]
-        self.program = subprocess.Popen(command, env=environment, text=True, stderr=subprocess.PIPE)
+        first, self.program = self.program, self.start_process()
         self.stack.callback(self.kill_gateway)
         _, log_output = first.communicate(timeout=WAIT_TIMEOUT_S)
         self.assertIn("a newer process of this gateway is ready", log_output)
@@ -204,9 +199,7 @@
         self.program.send_signal(signal.SIGKILL)
         self.program.communicate(timeout=WAIT_TIMEOUT_S)
         time.sleep(1.5 * WINDOW_MS / 1000.0)
-        command: list[Any] = [sys.executable, "-m", "petrelhall"]
-        environment = {**os.environ, "EDGE_CONFIG": self.config_path}
-        self.program = subprocess.Popen(command, env=environment, text=True, stderr=subprocess.PIPE)
+        self.program = self.start_process()
         self.stack.callback(self.kill_gateway)
         self.assert_refused(server, self.client(self.keyed_request()))
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import re
 import select
 import socket
 import time
@@ -150,13 +149,6 @@
 class ManyPeersTest(GatewayTestCase):
     """Hundreds of slow peers, with the least memory and 1,024 descriptors."""
 
-    def peak_mb(self) -> float:
-        """Return the most memory that was ever resident, in MiB."""
-        with open(f"/proc/{self.program.pid}/status") as file:
-            peak = re.search(r"VmHWM:\s+(\d+)", file.read())
-        assert peak is not None
-        return int(peak[1]) / 1024.0
-
     def check_memory(self, *requests: bytes) -> None:
         """Connect many peers, each of which sends a part of a request and stops, and check the memory."""
         server = self.listener()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -4,12 +4,10 @@
 
 import contextlib
 import json
-import os
 import select
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import unittest
@@ -94,13 +92,7 @@
         first = self.start(server)
         self.client(build_request(1))
         read_message(self.accept(server))  # the first process is serving, so it has written its ready marker
-        second = subprocess.Popen(
-            [sys.executable, "-m", "petrelhall"],
-            env={**os.environ, "EDGE_CONFIG": self.config_path},
-            text=True,
-            stderr=subprocess.PIPE,
-        )
-        self.stack.callback(lambda: second.poll() is None and second.kill())
+        second = self.start_process()
         _, log_output = first.communicate(timeout=WAIT_TIMEOUT_S)  # without a signal
         self.assertEqual(first.returncode, 0, log_output)
         self.assertIn("a newer process of this gateway is ready", log_output)
@@ -111,17 +103,6 @@
         at_server.sendall(build_response(b"new"))
         self.assertTrue(read_message(late_client).endswith(b"new"))
 
-    def start_second_process(self, **environment: str) -> subprocess.Popen[str]:
-        """Start another process of the same gateway while the first one runs."""
-        program = subprocess.Popen(
-            [sys.executable, "-m", "petrelhall"],
-            text=True,
-            stderr=subprocess.PIPE,
-            env={**os.environ, "EDGE_CONFIG": self.config_path, **environment},
-        )
-        self.stack.callback(lambda: program.poll() is None and program.kill())
-        return program
-
     def answer_request(self, at_server: socket.socket, client: socket.socket, body: bytes) -> bytes:
         """Answer the next request on a server's connection, and return the response that the client reads."""
         read_message(at_server)
@@ -138,7 +119,7 @@
         client = self.client(build_request(1))
         at_server = self.accept(server)
         self.answer_request(at_server, client, b"one")
-        self.start_second_process()
+        self.start_process()
         self.wait_for_log("a newer process of this gateway is ready")
         return server, first, client, at_server
 
@@ -148,7 +129,7 @@
         idle_client = self.client(build_request(1))
         at_server = self.accept(server)
         self.assertTrue(self.answer_request(at_server, idle_client, b"one").endswith(b"one"))
-        second = self.start_second_process()
+        second = self.start_process()
         self.wait_for_log("a newer process of this gateway is ready")
         first.send_signal(signal.SIGTERM)
         time.sleep(0.25)
@@ -172,7 +153,7 @@
         ]
         connection.sendall(build_response(json.dumps({"version": 2, "full": True, "servers": entries}).encode()))
         self.assertIn(b"after=2", read_message(connection))  # from here on discovery is silent
-        self.program = self.start_second_process()
+        self.program = self.start_process()
         _, log_output = first.communicate(timeout=WAIT_TIMEOUT_S)
         self.assertIn("a newer process of this gateway is ready", log_output)
         # None is answered before all are sent, so that they would spread over both servers.
@@ -220,7 +201,7 @@
             at_server.sendall(build_response(b"one", "200 OK", "Connection: close"))
             self.assertTrue(read_message(clients[-1]).endswith(b"one"))
         idle_client = clients[0]
-        self.start_second_process()
+        self.start_process()
         self.wait_for_log("a newer process of this gateway is ready")
         started_at = time.monotonic()
         first.send_signal(signal.SIGTERM)
@@ -236,7 +217,7 @@
         self.answer_request(at_server, client, b"one")
         with open_listener() as free_port:
             management_address = free_port.getsockname()
-        self.start_second_process(EDGE_MGMT=f"{management_address[0]}:{management_address[1]}")
+        self.start_process(EDGE_MGMT=f"{management_address[0]}:{management_address[1]}")
         give_up_at = time.monotonic() + WAIT_TIMEOUT_S
         answer = b""
         while b" 200 " not in answer and time.monotonic() < give_up_at:
@@ -260,7 +241,7 @@
         at_server = self.accept(server)
         self.answer_request(at_server, client, b"one")
         with tempfile.TemporaryDirectory() as other_directory:  # without a handover marker in it
-            other_gateway = self.start_second_process(EDGE_NAME="n9", TMPDIR=other_directory)
+            other_gateway = self.start_process(EDGE_NAME="n9", TMPDIR=other_directory)
             _, log_output = other_gateway.communicate(timeout=WAIT_TIMEOUT_S)
         self.assertEqual(other_gateway.returncode, 1)
         self.assertRegex(log_output, r"\Apetrelhall: cannot start: .*another process listens at 127.0.0.1:\d+.*\n\Z")
@@ -276,13 +257,7 @@
         read_message(at_server)
         at_server.sendall(build_response(b"old"))
         self.assertTrue(read_message(client).endswith(b"old"))
-        second = subprocess.Popen(
-            [sys.executable, "-m", "petrelhall"],
-            env={**os.environ, "EDGE_CONFIG": self.config_path},
-            text=True,
-            stderr=subprocess.PIPE,
-        )
-        self.stack.callback(lambda: second.poll() is None and second.kill())
+        second = self.start_process()
         first.send_signal(signal.SIGTERM)
         _, log_output = first.communicate(timeout=WAIT_TIMEOUT_S)
         self.assertEqual(first.returncode, 0, log_output)
