In an upgrade the old process no longer outbids the new one's incarnation

All four were late by the time to the end of the drill while all views agreed there, so the states had been told under another incarnation. A gateway that hears of a later incarnation of its own number claims the one after it. In an upgrade that is the new process's: it may speak once it takes clients, and the old one reads its marker up to 50 ms later. A peer's word in between makes the old process claim n + 1 and the new one n + 2.

Change: before it claims, a process looks whether a newer process of the gateway has announced that it joins and still runs (Handover.has_successor); the announcement is written before the new process listens.

The new test on sockets in tests/test_drill.py fails without the fix (incarnation n + 6 in place of n) and passes with it.

--- a/petrelhall/gateway/handover.py
+++ b/petrelhall/gateway/handover.py
@@ -130,6 +130,12 @@
                 self.snapshot_pid = self.partner_pid = joining_pid
                 self.write_file(self.snapshot_path, letter(joining_pid, self.snapshot()))
 
+    def has_successor(self) -> bool:
+        """Return whether a newer process of this gateway has announced that it joins, and still runs."""
+        data = read_file(self.join_path)
+        joining_pid = marked(data)
+        return joining_pid is not None and succeeded(data, self.pid, self.started) and is_alive(joining_pid)
+
     def write_ready_marker(self) -> None:
         """Write the ready marker atomically, once; if that fails, the old process drains only on SIGTERM.
 
--- a/petrelhall/gateway/membership.py
+++ b/petrelhall/gateway/membership.py
@@ -51,6 +51,7 @@
         registry: ServerRegistry,
         on_server_list: Callable[[api.ServerList], None],
         is_ready: Callable[[], bool],
+        has_successor: Callable[[], bool],
         counts: Counts,
         log: Callable[[str], None],
     ) -> None:
@@ -61,6 +62,7 @@
         # The incarnation is the start time in tenths of a second: it grows with each start, provided that the
         # machine's clock keeps running between them.
         self.core = Members(platform.position, math.floor(now / 100.0), timing, seed, now)
+        self.core.has_successor = has_successor
         self.core.quiet = True  # until this process takes clients: before that, the one it replaces sends
         self.ended = False
         self.names = {number: f"{host}:{port}" for number, (host, port) in enumerate(peers.peers)}
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -225,6 +225,7 @@
                     self.registry,
                     on_event,
                     self.is_ready,
+                    self.handover.has_successor,
                     self.counts,
                     self.log.write,
                 )
--- a/petrelhall/hollow/gateway.py
+++ b/petrelhall/hollow/gateway.py
@@ -90,6 +90,7 @@
                 ServerRegistry(()),
                 lambda listing: None,
                 lambda: not self.ended,
+                lambda: False,
                 self.counts,
                 lambda line: None,
             )
--- a/petrelhall/members/core.py
+++ b/petrelhall/members/core.py
@@ -14,7 +14,7 @@
 
 import itertools
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from petrelhall.events import Dropped, MessageReceived, Send, Superseded, Tick
@@ -48,6 +48,11 @@
 AHEAD = 4  # steps, beyond those that time allows, by which news may be ahead of what is known here
 
 
+def never() -> bool:
+    """Return False: where no process is ever replaced while it runs."""
+    return False
+
+
 class Members:
     """One gateway's view of all."""
 
@@ -57,6 +62,8 @@
         self.started = self.turned = self.since = now
         self.counter = 0
         self.leaving = self.quiet = False
+        # Tells whether a newer process of this member has started and will take over.
+        self.has_successor: Callable[[], bool] = never
         self.away_ms, self.old_until = 0.0, float("-inf")  # the last absence; until when the view is old at least
         self.stalls = 0
         self.clashed = float("-inf")  # when another address last claimed this gateway's number
@@ -220,15 +227,7 @@
     def on_life(self, now: float, number: int, life: int, counter: int, held: int) -> None:
         """Take in what another knows of an incarnation: its whole counter can bring back one that failed."""
         if number == self.number:
-            if newer(life, self.life) or (life == self.life and held == words.LEFT and not self.leaving):
-                self.life, self.speaker.seq, self.counter = (
-                    (life + 1) & LIVES,
-                    0,
-                    0,
-                )  # a clock went back between two starts
-                self.known(self.number)
-                self.actions.append(Changed(number, "here", self.life, "an older life of this number was later"))
-            return
+            return self.on_own_life(life, held)
         member = self.members[number]
         if not member.life or newer(life, member.life):
             self.begin(now, number, life, counter, held)
@@ -240,6 +239,20 @@
                 self.known(number)
                 self.back(now, number, "told by others")
 
+    def on_own_life(self, life: int, held: int) -> None:
+        """Take in what another knows of this gateway's own number, and claim a later incarnation where it is taken.
+
+        An incarnation that is taken is that of a former process, whose clock was ahead, unless a newer process has
+        started: then it is the newer one's.
+        """
+        is_taken = newer(life, self.life) or (life == self.life and held == words.LEFT and not self.leaving)
+        if not is_taken or self.has_successor():
+            return
+        self.life = (life + 1) & LIVES
+        self.speaker.seq = self.counter = 0
+        self.known(self.number)
+        self.actions.append(Changed(self.number, "here", self.life, "an older life of this number was later"))
+
     def begin(self, now: float, number: int, life: int, counter: int, held: int = words.HERE) -> None:
         """An incarnation begins for this gateway: all that was known of the one before is dead."""
         member = self.members[number]
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -19,6 +19,9 @@
 from click.testing import CliRunner
 
 from petrelhall.cli.main import main
+from petrelhall.control.handover import mark
+from petrelhall.members.words import HERE, Word, encode
+from petrelhall.net.loop import now_ms
 from petrelhall.operator.settings import File, Membership
 from petrelhall.standins.network import Network
 from petrelhall.standins.strikes import Play, Strike, drawn
@@ -141,8 +144,8 @@
     """One gateway with membership on, asked by operators."""
 
     @contextlib.contextmanager
-    def gateway(self, **profile: Any) -> Iterator[str]:
-        """Start one of two that may speak, alone; give where its management listens."""
+    def gateway(self, peer: str = "127.0.0.1:9", **profile: Any) -> Iterator[str]:
+        """Start one of two that may speak, beside a peer of the test's own; give where its management listens."""
         with socket.socket() as free, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as mail:
             free.bind(("127.0.0.1", 0))
             mail.bind(("127.0.0.1", 0))
@@ -156,8 +159,8 @@
             arguments=("--operator", operator.name),
             mgmt=mgmt,
             peer_listen=own,
-            peers=[own, "127.0.0.1:9"],
-            peers_all="127.0.0.1:9",
+            peers=[own, peer],
+            peers_all=peer,
             settings={**platform(2, 0, 1500.0), **profile},
         )
         yield mgmt
@@ -177,6 +180,27 @@
             self.assertIn("1 of 2, no majority", shown.output)
         self.stop()
 
+    # Guards against: the old process of an upgrade claims an incarnation after that of the new one.
+    def test_the_old_process_of_an_upgrade_does_not_outbid_the_incarnation_of_the_new_one(self) -> None:
+        peer = self.stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+        peer.bind(("127.0.0.1", 0))
+        peer.settimeout(WAIT_TIMEOUT_S)
+        with self.gateway(peer=format_address(peer)) as mgmt:
+            life = json.loads(self.asked(mgmt).output)["views"][0]["life"]
+            # As a newer process does that joins; this one runs for as long as the test does.
+            with open(os.path.join(os.environ["TMPDIR"], "petrelhall-n0-joins.json"), "wb") as file:
+                file.write(mark(os.getpid(), now_ms() + 1000.0))
+            until = time.monotonic() + WAIT_TIMEOUT_S
+            _, address = peer.recvfrom(1024)
+            for seq in range(1, 4):
+                peer.sendto(encode(Word(1, 1, seq, seq, 2, lives=((0, life + 5, 1, HERE),))), address)
+            states = ["unknown"]
+            while states[-1] != "here" and time.monotonic() < until:  # the messages have been taken in
+                view = json.loads(self.asked(mgmt).output)["views"][0]
+                states = [row["state"] for row in view["members"]]
+            self.assertEqual((states, view["life"]), (["here", "here"], life))
+        self.stop()
+
     def asked(self, mgmt: str) -> Any:
         """Ask until the listener answers."""
         until = time.monotonic() + WAIT_TIMEOUT_S
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -13,9 +13,19 @@
 from petrelhall.emulate.members import Scene, explore, play
 from petrelhall.members import words
 from petrelhall.members.boxes import HOLD_MS, Boxes, code
-from petrelhall.members.core import Changed, Dropped, Leave, Members, MessageReceived, Send, Sign, Superseded, Tick
+from petrelhall.members.core import (
+    Changed,
+    Dropped,
+    Leave,
+    Members,
+    MessageReceived,
+    Send,
+    Sign,
+    Superseded,
+    Tick,
+)
 from petrelhall.members.plan import Pace, pace
-from petrelhall.members.words import Word, decode, encode
+from petrelhall.members.words import HERE, Word, decode, encode
 from petrelhall.standins.history import History, Moment, Said, Stated
 
 
@@ -335,6 +345,18 @@
         self.assertEqual({scene.states(number) for number in range(6)}, {"hhhhh"})
         self.assertEqual(len({core.digest() for core in scene.fabric.cores.values()}), 1)
 
+    def test_a_later_incarnation_of_its_own_number_is_claimed_again_once_its_successor_has_died(self) -> None:
+        scene = self.scene()
+        core, now = scene.core(1), scene.fabric.now
+        life = core.life
+        told = dataclasses.replace(decode(words_of(scene.core(2), now + 150.0)[0]), lives=((1, life + 5, 1, HERE),))
+        core.has_successor = lambda: True
+        core.handle(now + 150.0, MessageReceived(2, encode(told)))
+        self.assertEqual(core.life, life)
+        core.has_successor = lambda: False
+        core.handle(now + 170.0, MessageReceived(2, encode(dataclasses.replace(told, seq=told.seq + 1))))
+        self.assertEqual(core.life, life + 6)
+
     def test_a_link_that_brings_other_messages_is_heard_and_starts_are_not_in_step(self) -> None:
         core = Members(0, 1, pace(6, 100.0, 0.1, 300.0), 1, 0.0)
         core.handle(10.0, Sign(3))
