--- a/petrelhall/decide/interface.py
+++ b/petrelhall/decide/interface.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import zlib
 from dataclasses import dataclass, field
@@ -36,6 +37,7 @@
     MOOT = "moot"
 
 
+@functools.lru_cache(maxsize=1024)
 def server_number(address: str) -> int:
     """Return the 32 bits that stand for a server's id."""
     return zlib.crc32(address.encode())
--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -312,12 +312,17 @@
         outcome = yield from self.serve_next_request(client)
         if outcome is None:
             return False
-        keep_alive = yield from self.send_answer(client, outcome)
+        answer = outcome.answer
+        if isinstance(answer, Served) and isinstance(answer.reply, StreamingResponse):
+            keep_alive = yield from self.stream_answer(client, answer.reply, outcome.last)
+        else:
+            keep_alive = self.send_answer(client, answer, outcome.last)
         timed_out = outcome.timed_out
         # A slow client may keep its connection for long: it must not keep the answer in memory as well.
-        del outcome
+        del outcome, answer
         client.http.release_body()
-        yield from self.wait_until_sent(client)
+        if client.stream.outgoing:
+            yield from self.wait_until_sent(client)
         keep_alive = keep_alive and not client.stream.dropped_bytes
         if not keep_alive and not (self.at_capacity and timed_out):
             yield from self.linger(client, client.http.receiving_body)
@@ -343,7 +348,11 @@
         if isinstance(request, HttpError):
             return self.reject(client, request, isinstance(received, HttpError))
         body_rest = received.streaming_body if isinstance(received, HttpRequest) else None
-        answer = yield from self.serve_request(client, request, body_rest)
+        try:
+            self.begin_serving(client, request, body_rest)
+            answer = yield from self.request_handler.serve(request, client)
+        finally:
+            self.end_serving(client, request, body_rest)
         if answer is None:
             return None
         # A body that the client broke off is the client's error, whatever became of the attempt.
@@ -383,29 +392,26 @@
         """Return whether the connection can carry no request after the answer that is sent next."""
         return self.draining or client.evicted or client.http.receiving_body or client.stream.dropped_bytes > 0
 
-    def serve_request(self, client: Client, request: Request, body_rest: StreamingBody | None) -> Steps[Answer | None]:
-        """Have a valid request served; None if its client has left."""
+    def begin_serving(self, client: Client, request: Request, body_rest: StreamingBody | None) -> None:
+        """Mark a valid request as in flight, and prepare its connection."""
+        self.request_ids.add(request.request_id)
         if body_rest is None:
             client.look_behind_request()
-        self.request_ids.add(request.request_id)
-        if body_rest is not None:
+        else:
             self.start_streaming_body(client, body_rest)
-        try:
-            return (yield from self.request_handler.serve(request, client))
-        finally:
-            self.request_ids.discard(request.request_id)
-            if body_rest is not None:
-                client.stream.max_unread, client.stream.drop_excess = MAX_UNREAD_BYTES, True
 
-    def send_answer(self, client: Client, outcome: Outcome) -> Steps[bool]:
-        """Send an answer, or pass it on as it comes; return whether the connection can carry another request."""
-        answer = outcome.answer
+    def end_serving(self, client: Client, request: Request, body_rest: StreamingBody | None) -> None:
+        """Mark a request as no longer in flight."""
+        self.request_ids.discard(request.request_id)
+        if body_rest is not None:
+            client.stream.max_unread, client.stream.drop_excess = MAX_UNREAD_BYTES, True
+
+    def send_answer(self, client: Client, answer: Answer | HttpError | HealthStatus, last: bool) -> bool:
+        """Send a complete answer; return whether the connection can carry another request."""
         if isinstance(answer, HealthStatus):
             status, body = (200, b"ready\n") if answer.healthy else (503, b"not ready\n")
-            return client.http.send_response(status, [], body, outcome.last)
-        if isinstance(answer, Served) and isinstance(answer.reply, StreamingResponse):
-            return (yield from self.stream_answer(client, answer.reply, outcome.last))
-        return client.http.send_response(*self.codec.render_answer(answer), outcome.last)
+            return client.http.send_response(status, [], body, last)
+        return client.http.send_response(*self.codec.render_answer(answer), last)
 
     def next_request(self, client: Client) -> Steps[HttpRequest | HttpError | None]:
         """Wait for a complete request; returns None if the connection ends between requests."""
@@ -490,8 +496,6 @@
 
     def wait_until_sent(self, client: Client) -> Steps[None]:
         """Wait until the answer is written; a client that does not read it is dropped after SEND_TIMEOUT_MS."""
-        if not client.stream.outgoing:
-            return
         until = now_ms() + SEND_TIMEOUT_MS
         timer = self.loop.at(until, self.loop.this_task().wake)
         while client.stream.outgoing and not client.gone:
--- a/petrelhall/gateway/history.py
+++ b/petrelhall/gateway/history.py
@@ -26,13 +26,15 @@
 SLOTS_PER_BUCKET = 4
 FORMAT_VERSION = 1  # part of the file's name: another form of the slots needs another number
 SLOT = struct.Struct("<QdII")  # fingerprint of the id, time of the first attempt, its server, process
+FINGERPRINT = struct.Struct("<Q")  # the beginning of a slot
 BUCKET_BYTES = SLOT.size * SLOTS_PER_BUCKET
+NO_FINGERPRINT = 0  # of an empty slot
 NO_PROCESS = 0  # the request has ended
 NEVER = math.inf
 
 
 class Slot(NamedTuple):
-    """One record as stored; a fingerprint of 0 stands for none."""
+    """One record as stored."""
 
     fingerprint: int
     ran_at: float
@@ -57,37 +59,38 @@
         path = os.path.join(tempfile.gettempdir(), f"petrelhall-{gateway}-requests-{FORMAT_VERSION}.bin")
         self.file = open_records(path, log)
 
-    def find(self, request_id: bytes) -> EarlierRun | None:
+    def find(self, fingerprint: int) -> EarlierRun | None:
         """Return the earlier request of an id, if it may have run."""
-        _, slot = self.locate(request_id)
-        if slot is None:
+        bucket = self.read_bucket(fingerprint)
+        position = position_in(bucket, fingerprint)
+        if position is None:
             return None
+        slot = Slot._make(SLOT.unpack_from(bucket, position))
         other = slot.process not in (NO_PROCESS, self.process)
         return EarlierRun(slot.ran_at, slot.server, other and is_alive(slot.process))
 
-    def store(self, request_id: bytes, ran_at: float, server: int, in_flight: bool) -> None:
+    def store(self, fingerprint: int, ran_at: float, server: int, in_flight: bool) -> None:
         """Record a request whose first attempt that may have run was sent at ``ran_at`` (Unix ms)."""
-        offset, _ = self.locate(request_id)
+        bucket = self.read_bucket(fingerprint)
+        position = position_in(bucket, fingerprint)
+        if position is None:
+            position = replaceable_position(bucket)
         process = self.process if in_flight else NO_PROCESS
-        os.pwrite(self.file, SLOT.pack(fingerprint_of(request_id), ran_at, server, process), offset)
+        os.pwrite(
+            self.file,
+            SLOT.pack(fingerprint, ran_at, server, process),
+            fingerprint % BUCKETS * BUCKET_BYTES + position,
+        )
 
-    def forget(self, request_id: bytes) -> None:
+    def forget(self, fingerprint: int) -> None:
         """Remove a request that has surely not run."""
-        offset, slot = self.locate(request_id)
-        if slot is not None:
-            os.pwrite(self.file, bytes(SLOT.size), offset)
-
-    def locate(self, request_id: bytes) -> tuple[int, Slot | None]:
-        """Return the place of an id's record and the record, or the place for a new one."""
-        fingerprint = fingerprint_of(request_id)
-        start = fingerprint % BUCKETS * BUCKET_BYTES
-        slots = list(SLOT.iter_unpack(os.pread(self.file, BUCKET_BYTES, start).ljust(BUCKET_BYTES, b"\0")))
-        for index, slot in enumerate(slots):
-            if slot[0] == fingerprint:
-                return start + index * SLOT.size, Slot._make(slot)
-        # The oldest of those that have ended; empty ones are the oldest of all.
-        _, index = min((process, ran_at, index) for index, (_, ran_at, _, process) in enumerate(slots))[1:]
-        return start + index * SLOT.size, None
+        position = position_in(self.read_bucket(fingerprint), fingerprint)
+        if position is not None:
+            os.pwrite(self.file, bytes(SLOT.size), fingerprint % BUCKETS * BUCKET_BYTES + position)
+
+    def read_bucket(self, fingerprint: int) -> bytes:
+        """Read the slots that an id may be in."""
+        return os.pread(self.file, BUCKET_BYTES, fingerprint % BUCKETS * BUCKET_BYTES).ljust(BUCKET_BYTES, b"\0")
 
 
 class RequestRecord:
@@ -95,8 +98,8 @@
 
     def __init__(self, history: RequestHistory, request_id: bytes) -> None:
         """Look for an earlier request with the same id, which counts as the same."""
-        self.history, self.request_id = history, request_id
-        self.earlier = history.find(request_id)
+        self.history, self.fingerprint = history, fingerprint_of(request_id)
+        self.earlier = history.find(self.fingerprint)
         self.ran_at = self.earlier.ran_at if self.earlier is not None else NEVER
         self.server = self.earlier.server if self.earlier is not None else 0
         self.stored = False
@@ -104,7 +107,7 @@
     def begin_attempt(self, now: float, server: str) -> None:
         """Record the request before an attempt: this process may be killed during it."""
         if self.ran_at == NEVER:
-            self.history.store(self.request_id, now, server_number(server), True)
+            self.history.store(self.fingerprint, now, server_number(server), True)
             self.stored = True
 
     def end_attempt(self, sent_at: float, server: str, may_have_run: bool) -> None:
@@ -115,13 +118,32 @@
     def close(self) -> None:
         """Keep the request if it may have run; it is not in flight any more."""
         if self.ran_at < NEVER:
-            self.history.store(self.request_id, self.ran_at, self.server, False)
+            self.history.store(self.fingerprint, self.ran_at, self.server, False)
         elif self.stored:
-            self.history.forget(self.request_id)
+            self.history.forget(self.fingerprint)
+
+
+def position_in(bucket: bytes, fingerprint: int) -> int | None:
+    """Return where in a bucket the slot of an id begins, if there is one."""
+    wanted = FINGERPRINT.pack(fingerprint)
+    position = bucket.find(wanted)
+    while position % SLOT.size and position >= 0:  # the same bytes within a slot
+        position = bucket.find(wanted, position + 1)
+    return position if position >= 0 else None
+
+
+def replaceable_position(bucket: bytes) -> int:
+    """Return where in a bucket a new record goes: an empty slot, or the oldest of those that have ended."""
+    empty = position_in(bucket, NO_FINGERPRINT)
+    if empty is not None:
+        return empty
+    slots = SLOT.iter_unpack(bucket)
+    oldest = min((process, ran_at, index) for index, (_, ran_at, _, process) in enumerate(slots))
+    return oldest[2] * SLOT.size
 
 
 def fingerprint_of(request_id: bytes) -> int:
-    """Return the 64 bits that stand for an id, never 0."""
+    """Return the 64 bits that stand for an id, never NO_FINGERPRINT."""
     return xxhash.xxh3_64_intdigest(request_id) or 1
 
 
--- a/petrelhall/http/h1.py
+++ b/petrelhall/http/h1.py
@@ -10,7 +10,7 @@
 import h11
 
 from petrelhall.http.reader import DEFERRED, UNAVAILABLE_STATUS, EventReader, check_header_count
-from petrelhall.net.memory import MAX_BUFFERED_BODY_BYTES
+from petrelhall.net.memory import MAX_BUFFERED_BODY_BYTES, MIN_SHARE_BYTES
 from petrelhall.net.stream import Stream
 
 SMALL_BODY_BYTES = 65536  # larger bodies are streamed where there is no memory to buffer them
@@ -106,6 +106,14 @@
     reason: str
 
 
+def validated(headers: Headers) -> Any:
+    """Return headers in h11's own type, which h11 does not validate again: that would cost more than writing them.
+
+    Names must be valid tokens; values must have been parsed by h11 or be numbers and constants of our own.
+    """
+    return ValidatedHeaders([(name, name.lower(), value) for name, value in headers])
+
+
 def headers_by_name(head: h11.Request | h11.Response) -> dict[bytes, bytes]:
     """Return headers by lower-case name, from ``raw_items``, since iterating over h11's own sequence is slow."""
     return {name.lower(): value for name, value in head.headers.raw_items()}
@@ -152,6 +160,7 @@
         "body",
         "streams_bodies",
         "check_head",
+        "stated_length",
         "body_received",
         "request_end",
     )
@@ -168,6 +177,7 @@
         self.head: h11.Request | None = None
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
+        self.stated_length = 0  # the Content-Length of the request that is being received, 0 if it states none
         self.body_received = 0  # bytes
         self.request_end = 0  # bytes of the connection up to the end of the request that was last complete
 
@@ -183,7 +193,8 @@
                 event = self.reader.next_event()
                 if event is h11.NEED_DATA:
                     self.send_continue()
-                    self.await_body()
+                    if self.head is not None:
+                        self.await_body()
                     return None
                 if event is DEFERRED or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                     return None
@@ -195,7 +206,7 @@
                         return HttpError(400, "another version of HTTP")
                     if ambiguous_framing(self.headers):  # request smuggling: the body could hide another request
                         return HttpError(400, "both Content-Length and Transfer-Encoding")
-                    length = self.stated_length
+                    length = self.stated_length = content_length(self.headers) or 0
                     if length:
                         self.reader.expect_body(length)
                     if length > SMALL_BODY_BYTES:
@@ -205,7 +216,9 @@
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     self.body_received += len(event.data)
-                    if not self.reserve_memory():
+                    # A body within the least share is counted only if the rest of it is waited for.
+                    size = max(self.body_received, self.stated_length)
+                    if size > MIN_SHARE_BYTES and not self.reserve_memory():
                         return self.rejection() or self.stream_body()
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                     return self.finish_request(False)
@@ -219,15 +232,12 @@
         rejection = self.check_head(self.build_request(b"-", None))
         return rejection if isinstance(rejection, HttpError) else None
 
-    @property
-    def stated_length(self) -> int:
-        """The Content-Length of the request that is being received, 0 if it states none."""
-        return content_length(self.headers) or 0
-
     def await_body(self) -> None:
         """Leave the rest of a body in the kernel until it is complete there, or as much as is buffered of any body."""
+        if self.body_received > self.stream.body_bytes:
+            self.stream.hold(self.stream.parser_bytes, self.body_received)
         awaited = min(self.stated_length, SMALL_BODY_BYTES + 1) - self.body_received
-        if self.head is not None and awaited >= MIN_AWAITED_BYTES and not self.stream.incoming:
+        if awaited >= MIN_AWAITED_BYTES and not self.stream.incoming:
             self.stream.wait_for(awaited)
 
     def reserve_memory(self) -> bool:
@@ -250,8 +260,7 @@
 
     def release_body(self) -> None:
         """Release the memory of a body: it is sent, the request is answered or the connection has ended."""
-        if self.stream.body_bytes:
-            self.stream.hold(self.stream.parser_bytes, 0)
+        self.stream.release_body()
         self.body.clear()
 
     def finish_request(self, streamed: bool) -> HttpRequest:
@@ -319,12 +328,15 @@
         return self.reader.deferred and self.head is None
 
     def send_response(self, status: int, headers: Headers, body: bytes, last: bool) -> bool:
-        """Send a complete response; return whether the connection can carry another request."""
+        """Send a complete response; return whether the connection can carry another request.
+
+        ``headers`` must be as ``validated`` demands.
+        """
         fields = [*headers, (b"Content-Length", b"%d" % len(body))]
         if last:
             fields.append((b"Connection", b"close"))
         try:
-            data = self.http.send(h11.Response(status_code=status, headers=fields)) or b""
+            data = self.http.send(h11.Response(status_code=status, headers=validated(fields))) or b""
             if body:
                 data += self.http.send(h11.Data(data=body)) or b""
             data += self.http.send(END_OF_MESSAGE) or b""
@@ -344,7 +356,7 @@
         ]
         if last:
             fields.append((b"Connection", b"close"))
-        self.stream.write(self.http.send(h11.Response(status_code=status, headers=fields)) or b"")
+        self.stream.write(self.http.send(h11.Response(status_code=status, headers=validated(fields))) or b"")
 
     def send_body(self, data: bytes, end: bool) -> bool:
         """Send a part of the body; at its end, return whether the connection can carry another request."""
@@ -381,11 +393,9 @@
     ) -> None:
         """Send a request, or its beginning if there is ``more`` of its body to follow.
 
-        Header names must be valid tokens; values must have been parsed by h11 or be numbers of our own.
+        ``headers`` must be as ``validated`` demands.
         """
-        # Headers of h11's own type are not validated again, which would cost more than writing them.
-        checked = ValidatedHeaders([(name, name.lower(), value) for name, value in headers])
-        data = self.http.send(h11.Request(method=method, target=target, headers=checked)) or b""
+        data = self.http.send(h11.Request(method=method, target=target, headers=validated(headers))) or b""
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
         if not more:
@@ -402,7 +412,8 @@
     def read_response(self, max_bytes: int = 0) -> HttpResponse | StreamingResponse | HttpError | None:
         """Return the response once it is complete; an incomplete response is an error and never served.
 
-        One with more than ``max_bytes``, or what the memory budget allows of SMALL_BODY_BYTES, is streamed.
+        One with more than ``max_bytes``, or what the memory budget allows of SMALL_BODY_BYTES, is streamed; never one
+        of MIN_SHARE_BYTES or less.
         """
         if not self.reader.has_input and not self.stream.ended:
             return None
@@ -429,16 +440,17 @@
                         return HttpError(502, "answer too large")
                     if length:
                         self.reader.expect_body(length)
-                    if length and length > self.buffer_limit(max_bytes):
+                    if length and length > MIN_SHARE_BYTES and length > self.buffer_limit(max_bytes):
                         return self.start_streaming()
                 elif isinstance(event, h11.Data):
                     self.body += event.data
-                    if len(self.body) > self.buffer_limit(max_bytes):
+                    size = len(self.body)
+                    if size > MIN_SHARE_BYTES and size > self.buffer_limit(max_bytes):
                         return self.start_streaming()
-                    self.stream.body_bytes = len(self.body)
+                    self.stream.body_bytes = size
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                     head, self.head = self.head, None
-                    self.stream.hold(self.stream.parser_bytes, 0)
+                    self.stream.release_body()
                     return HttpResponse(head.status_code, self.headers, bytes(self.body))
                 elif isinstance(event, h11.InformationalResponse) and self.interim < MAX_INTERIM_RESPONSES:
                     self.interim += 1
--- a/petrelhall/net/memory.py
+++ b/petrelhall/net/memory.py
@@ -31,13 +31,15 @@
 class MemoryBudget:
     """Counts the bytes that are held, and tells how many more one connection may hold."""
 
-    __slots__ = ("limit_bytes", "held_bytes", "max_customers")
+    __slots__ = ("limit_bytes", "held_bytes", "ample_bytes", "max_customers")
 
     def __init__(self, spare_bytes: float) -> None:
         """Divide the memory that is left to the process."""
         self.max_customers = max(MIN_CUSTOMERS, int(CUSTOMER_SHARE * spare_bytes / CUSTOMER_BYTES))
         spare_bytes -= self.max_customers * CUSTOMER_BYTES
         self.limit_bytes = max(MIN_LIMIT_BYTES, int(spare_bytes / OVERHEAD))
+        # While no more is held, every share is larger than what one connection may hold in any case.
+        self.ample_bytes = self.limit_bytes - SHARE_DIVISOR * MAX_STREAM_BYTES
         self.held_bytes = 0
 
     @property
--- a/petrelhall/net/stream.py
+++ b/petrelhall/net/stream.py
@@ -144,9 +144,12 @@
                 return
             if self.low_water_bytes > 1:
                 self.wait_for(1)  # or what is left after this read might be too little to be reported
+            limit = self.max_unread
+            if self.memory.held_bytes > self.memory.ample_bytes:
+                limit = min(limit, self.memory.share_bytes)
             # One byte more than may be unread, so that a full buffer can be told from one that is exactly used up.
-            size = min(self.max_unread, self.memory.share_bytes) + 1 - len(self.incoming)
-            data = self.sock.recv(min(READ_CHUNK_BYTES, size))
+            size = limit + 1 - len(self.incoming)
+            data = self.sock.recv(size if size < READ_CHUNK_BYTES else READ_CHUNK_BYTES)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -194,6 +197,13 @@
         self.parser_bytes, self.body_bytes = parser_bytes, body_bytes
         self.count_held()
 
+    def release_body(self) -> None:
+        """Count nothing more for the body of a message."""
+        if self.body_bytes:
+            self.body_bytes = 0
+            if self.counted_bytes:
+                self.count_held()
+
     def count_held(self) -> None:
         """Bring the memory budget up to date."""
         held = len(self.incoming) + len(self.outgoing) + self.parser_bytes + self.body_bytes
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -16,7 +16,7 @@
 from petrelhall.decide.interface import server_number
 from petrelhall.decide.policy import Gateway
 from petrelhall.gateway import history
-from petrelhall.gateway.history import RequestHistory, RequestRecord
+from petrelhall.gateway.history import RequestHistory, RequestRecord, fingerprint_of
 from tests.peers import TEST_SETTINGS, WAIT_TIMEOUT_S, GatewayTestCase, build_request, build_response, read_message
 
 WINDOW_MS = 700.0
@@ -49,26 +49,26 @@
 
     def test_a_request_that_may_have_run_is_found_by_every_process(self) -> None:
         self.run_request(self.open(), b"id", True)
-        found = self.open().find(b"id")
+        found = self.open().find(fingerprint_of(b"id"))
         assert found is not None
         self.assertEqual((found.ran_at, found.server, found.in_flight), (1000.0, server_number("s1"), False))
 
     def test_a_request_that_never_ran_is_forgotten(self) -> None:
         self.run_request(self.open(), b"id", False)
-        self.assertIsNone(self.open().find(b"id"))
+        self.assertIsNone(self.open().find(fingerprint_of(b"id")))
 
     def test_a_repeat_keeps_the_time_of_the_first_run(self) -> None:
         records = self.open()
         self.run_request(records, b"id", True, 1000.0)
         self.run_request(records, b"id", True, 2000.0)
-        found = records.find(b"id")
+        found = records.find(fingerprint_of(b"id"))
         assert found is not None
         self.assertEqual(found.ran_at, 1000.0)
 
     def test_a_request_in_flight_is_known_as_such_as_long_as_its_process_lives(self) -> None:
         for process, in_flight in ((os.getppid(), True), (DEAD_PROCESS, False)):
             RequestRecord(self.open(process), b"id%d" % process).begin_attempt(1000.0, "s1")
-            found = self.open().find(b"id%d" % process)
+            found = self.open().find(fingerprint_of(b"id%d" % process))
             assert found is not None
             self.assertEqual((found.in_flight, found.ran_at), (in_flight, 1000.0))
 
@@ -78,14 +78,18 @@
         RequestRecord(records, b"in flight").begin_attempt(1.0, "s1")
         for number in range(10):
             self.run_request(records, b"%d" % number, True, 1000.0 + number)
-        kept = [request_id for request_id in (b"in flight", b"6", b"7", b"8", b"9") if records.find(request_id)]
+        kept = [
+            request_id
+            for request_id in (b"in flight", b"6", b"7", b"8", b"9")
+            if records.find(fingerprint_of(request_id))
+        ]
         self.assertEqual(kept, [b"in flight", b"7", b"8", b"9"])
 
     def test_without_a_folder_to_write_in_ids_are_remembered_by_this_process_alone(self) -> None:
         self.folder = os.path.join(self.folder, "none")
         records = self.open()
         self.run_request(records, b"id", True)
-        self.assertIsNotNone(records.find(b"id"))
+        self.assertIsNotNone(records.find(fingerprint_of(b"id")))
         self.assertIn("not shared", self.log_lines[0])
 
 
