Requests whose bodies are passed on use half of the servers' places at most

Cause: a body that is passed on holds a place at its server while its client sends, and 4 s after that stops; such requests could take all places, and their time counted against the servers: as overdue, and a server with nothing else open was taken for silent.

Change: Arrival.is_upload; the decision module keeps attempts of such requests to half of the servers' limits and refuses more with the cause "uploads"; it does not time them for being overdue, and leaves them out where a server or the fleet is judged by how long attempts are open.

The tests in test_passing_on.py and test_policy.py fail without the change.

--- a/petrelhall/decide/interface.py
+++ b/petrelhall/decide/interface.py
@@ -171,6 +171,7 @@
     # When an earlier request with the same id, which may have run, was sent, and ``server_number`` of its server.
     ran_at: float = math.inf
     ran_on: int = 0
+    is_upload: bool = False  # its body is passed on while the client sends it, so an attempt lasts at least as long
 
 
 @dataclass(frozen=True)
--- a/petrelhall/decide/policy.py
+++ b/petrelhall/decide/policy.py
@@ -175,6 +175,8 @@
 ADMISSION_RATE_GROWTH = 0.02
 # Additional growth per interval, as a share, times how far the median latency is below SHED_LATENCY (as a share of it).
 ADMISSION_RATE_FAST_GROWTH = 0.5
+# Share of the servers' limits that attempts of uploads may use: a client that stalls holds its place for seconds.
+UPLOAD_SHARE = 0.5
 # By Little's law, admission rate times this latency is the number of open attempts from which requests are refused.
 CONCURRENCY_LATENCY = 0.2
 # Weight of an interval in the smoothed number of admitted requests.
@@ -750,8 +752,10 @@
             self.open_attempts + 1.0,
             self.warm_sends + (server_state.cold_since is None and good),
         )
+        self.open_uploads += request.arrival.is_upload
         self.actions.append(request.send_action(self.now, WINDOW_MARGIN))
-        if len(request.attempts) == 1:
+        # How long an upload takes says nothing about its server.
+        if len(request.attempts) == 1 and not request.arrival.is_upload:
             overdue_ms = max(OVERDUE_MIN * request.request_class.aim_ms, OVERDUE_LATENCIES * self.expected_ms(request))
             self.actions.append(
                 api.SetTimer(
@@ -915,15 +919,22 @@
             max_open_attempts = 1.0 + self.admission_rate * CONCURRENCY_LATENCY * request.request_class.aim_ms / 1000.0
             cause = cause or "pace" * (
                 self.admit_tokens < (1.0 if confirmed else UNCONFIRMED_RESERVE)
-                or self.open_attempts >= max_open_attempts
+                or self.open_attempts - self.open_uploads >= max_open_attempts
             )
         return cause
 
+    def is_upload_limit_reached(self, request: InFlightRequest) -> bool:
+        """Tell whether a request is an upload and as many attempts of uploads are open as may be."""
+        if not request.arrival.is_upload:
+            return False
+        places = sum(server_state.limit for server_state in self.healthy_servers)
+        return self.open_uploads >= max(1.0, UPLOAD_SHARE * places)
+
     def admit(self, request: InFlightRequest) -> None:
         """Start the first attempt of a request, or let it wait for a place, or refuse it at once.
 
         Checked in this order: what refuses it whatever its quota holds, its quota, the limit on its customer's
-        concurrent attempts, and whether a server has capacity.
+        concurrent attempts, that on uploads, and whether a server has capacity.
         """
         customer, units, request.cause = request.customer, request.units, self.refusal_cause(request)
         request.cause = request.cause or "quota" * (not self.within_quota(customer, units, request.granted))
@@ -935,6 +946,7 @@
                 self.waiting_requests.recheck_scheduled = True
                 self.actions.append(api.SetTimer(RECHECK_INTERVAL_MS, 4))
             return
+        request.cause = request.cause or "uploads" * self.is_upload_limit_reached(request)
         server_state = None if request.cause else self.pick_server(request)
         if server_state is None:
             self.answer_unserved(request)
@@ -961,6 +973,7 @@
         ran = request.finish_attempt(attempt, self.now, event.ending)
         cost = retry_cost(event, ran, self.expected_ms(request))
         self.open_attempts -= 1.0
+        self.open_uploads -= request.arrival.is_upload
         self.learn_from_outcome(attempt.target, event, request)
         if event.used is not None and self.now - customer.others_reported_at > self.settings.meter_ms / 2:
             self.record_metered_usage(customer, event.used)
--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -165,13 +165,15 @@
     cold_tokens_at: float  # when ``cold_tokens`` was last brought up to date
     limit_cut_at: float = 0.0  # when the limit was last reduced
     open_attempts: float = 0.0  # open attempts of this gateway
+    open_uploads: float = 0.0  # those of requests whose bodies are passed on, which may take long at any server
     other_load: float = 0.0  # requests of other gateways, from the server's last load report
     reported_at: float = 0.0  # when the last load report came
     slowness: float = 1.0  # smoothed ratio of latency to the latency expected of the fleet
     normalized_latency: float = 0.0  # smoothed
     measured_at: float = 0.0  # when ``slowness`` and ``normalized_latency`` were last updated
-    last_sent_at: float = 0.0  # when the last attempt was sent; 0 if none was
-    answer_at: float = 0.0  # when the last outcome came, or the first attempt was sent after a time with none open
+    last_sent_at: float = 0.0  # when the last attempt was sent; 0 if none was. Uploads do not count
+    # When the last outcome came, or the first attempt was sent after a time with none open but uploads.
+    answer_at: float = 0.0
     resets: int = 0  # consecutive connection resets
     ejections: int = 0  # consecutive ejections as an outlier
     ejected_until: float = 0.0
@@ -221,11 +223,14 @@
         Each one counts as open at its server, later ones of the same request too, since each outcome is recorded.
         """
         self.customer.open_attempts += not self.has_open_attempt
-        server.cold_tokens, server.last_sent_at = server.cold_tokens - (server.cold_since is not None), now
-        server.open_attempts, server.answer_at = (
-            server.open_attempts + 1.0,
-            server.answer_at if server.open_attempts else now,
-        )
+        server.cold_tokens -= server.cold_since is not None
+        if self.arrival.is_upload:
+            server.open_uploads += 1.0
+        else:
+            server.last_sent_at = now
+            if server.open_attempts == server.open_uploads:
+                server.answer_at = now
+        server.open_attempts += 1.0
         self.attempts.append(Attempt(server, now))
 
     def take_tokens(self, rate: float) -> None:
@@ -240,6 +245,7 @@
         self.reached_server |= ending is not Ending.MOOT
         attempt.is_open = False
         attempt.target.open_attempts, attempt.target.answer_at = attempt.target.open_attempts - 1.0, now
+        attempt.target.open_uploads -= self.arrival.is_upload
         self.customer.open_attempts -= not self.has_open_attempt
         if ran and attempt.sent_at < self.first_run_at:
             self.first_run_at, self.first_run_server = attempt.sent_at, attempt.target.server
@@ -364,6 +370,7 @@
     admit_tokens: float = 2.0  # token bucket of the admission rate
     admit_tokens_at: float = 0.0  # when ``admit_tokens`` was last brought up to date
     open_attempts: float = 0.0  # open attempts at all servers
+    open_uploads: float = 0.0  # those of requests whose bodies are passed on
     admitted: float = 0.0  # requests admitted during the current interval
     avg_admitted: float = 0.0  # smoothed number of requests admitted per interval
 
--- a/petrelhall/gateway/platform.py
+++ b/petrelhall/gateway/platform.py
@@ -113,6 +113,7 @@
                 headers[b"x-request-id"],
                 repeatable,
                 set_first,
+                message.streaming_body is not None,
             )
         except InvalidRequest as error:
             return HttpError(400, str(error))
--- a/petrelhall/gateway/requests.py
+++ b/petrelhall/gateway/requests.py
@@ -40,6 +40,7 @@
     request_id: bytes = b""  # chosen by the client; unique among the requests in flight
     repeatable: bool = True  # running it twice does no harm
     set_first: int = 0  # number of the first gateway of the customer's set
+    is_upload: bool = False  # its body is passed on while the client sends it
 
 
 class Caller(Protocol):
@@ -231,6 +232,7 @@
                 return None if caller.gone else self.refuse_undecided()
             request = dataclasses.replace(request, remaining_ms=max(1.0, deadline - now_ms()))
         pools = self.pool_router.pools(request) if self.pool_router is not None else ()
+        ran_at, ran_on = (record.ran_at, record.server) if record is not None else (math.inf, 0)
         self.handle_event(
             api.Arrival(
                 in_flight.id,
@@ -243,7 +245,9 @@
                 request.is_retry,
                 pools,
                 request.set_first,
-                *((record.ran_at, record.server) if record is not None else ()),
+                ran_at,
+                ran_on,
+                request.is_upload,
             )
         )
         try:
--- a/tests/test_passing_on.py
+++ b/tests/test_passing_on.py
@@ -9,7 +9,7 @@
 from petrelhall.links import pool
 from petrelhall.links.upload import KERNEL_BUFFERED_BYTES, UploadClock
 from petrelhall.net.loop import now_ms
-from tests.peers import build_request
+from tests.peers import build_request, build_response
 from tests.test_bodies import chunk, post_head
 from tests.test_moments import GatewayPartsTestCase, close_with_reset
 
@@ -17,6 +17,25 @@
 LARGE_BODY_BYTES = 8 << 20
 
 
+class StalledUploadsTest(GatewayPartsTestCase):
+    """Clients that stop half way through large bodies."""
+
+    # Guards against: stalled bodies hold all places at the servers, and usual requests are refused (issue 53, a).
+    def test_a_usual_request_is_served_while_large_bodies_stall(self) -> None:
+        self.start_gateway(max_connections=40)
+        for number in range(1, 21):
+            self.client(post_head(LARGE_BODY_BYTES, number), b"x" * 1000)
+        self.turn_until(lambda: self.counts.get("taken", "requests") == 20)
+        usual = self.client(build_request(100))
+        head = b""
+        while not head.startswith(b"GET"):
+            server = self.accept()
+            head = self.read(server, b"\r\n\r\n")
+        server.sendall(build_response(b"usual"))
+        self.assertTrue(self.read(usual, b"usual").startswith(b"HTTP/1.1 200"))
+        self.assertGreater(self.counts.get("refused", "uploads_0"), 0)
+
+
 class UnknownLengthTest(GatewayPartsTestCase):
     """Answers that do not state their length and come slowly."""
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -126,6 +126,25 @@
     return [a for a in actions if isinstance(a, Send)]
 
 
+def test_uploads_use_half_of_the_places_and_are_never_overdue() -> None:
+    harness = GatewayHarness(servers=(Server("s0"),))  # six places
+    uploads = [harness.feed(Arrival(number, 0, 0, "a", 3000, 1, 2, is_upload=True)) for number in range(1, 5)]
+    assert [len(send_actions(actions)) for actions in uploads] == [1, 1, 1, 0]
+    assert final_answers(uploads[3])[0].cause == "uploads"
+    assert not any(isinstance(action, SetTimer) for actions in uploads for action in actions)
+    assert send_actions(harness.feed(Arrival(5, 0, 0, "a", 3000, 1, 2)))  # a usual request
+    harness.report_outcome(send_actions(uploads[0])[0], Ending.OK)
+    assert send_actions(harness.feed(Arrival(6, 0, 0, "a", 3000, 1, 2, is_upload=True)))
+
+
+def test_a_server_that_only_uploads_are_open_at_is_not_taken_for_silent() -> None:
+    harness = GatewayHarness(servers=(Server("s0"),))
+    for number, pause_ms in ((1, 600.0), (2, 100.0)):
+        harness.feed(Arrival(number, 0, 0, "a", 3000, 1, 2, is_upload=True))
+        harness.now += pause_ms
+    assert send_actions(harness.feed(Arrival(3, 0, 0, "a", 3000, 1, 2)))
+
+
 def test_once_request_fails_without_retry_after_it_may_have_run() -> None:
     harness = GatewayHarness()
     send = harness.submit(request_class=2)
