The listener's connections and the passing on of answers have modules of their own

Change: Client with its times is in gateway/client.py, which now also sets the time of a request that has begun (start_request); stream_answer is relay_answer in gateway/relay.py. Behaviour is the same; tests patch the constants where they are now.

--- a/petrelhall/gateway/front.py
+++ b/petrelhall/gateway/front.py
@@ -9,14 +9,15 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+from petrelhall.gateway.client import Client
 from petrelhall.gateway.platform import HEALTH_PATH
+from petrelhall.gateway.relay import relay_answer
 from petrelhall.gateway.requests import Answer, Request, RequestHandler, Served
 from petrelhall.http.h1 import (
     MAX_REQUEST_BODY_BYTES,
     Headers,
     HttpError,
     HttpRequest,
-    HttpServerConnection,
     StreamingBody,
     StreamingResponse,
 )
@@ -28,15 +29,6 @@
 ACCEPTS_PER_TURN = 64
 ACCEPT_PAUSE_MS = 20.0  # no connection is accepted for so long after the process ran out of descriptors
 
-# A first request must be complete within FIRST_REQUEST_TIMEOUT_MS of connecting, however slowly it arrives, and a
-# later one within REQUEST_TIMEOUT_MS of its first byte. An idle connection is kept for IDLE_TIMEOUT_MS.
-FIRST_REQUEST_TIMEOUT_MS = 2200.0
-REQUEST_TIMEOUT_MS = 2200.0
-IDLE_TIMEOUT_MS = 8000.0
-# Beyond these timeouts, a request gains time for the bytes received. On the operators' test days clients may send a
-# body at 64 kB/s after taking 2 s for the head, so each byte gains twice its time at that rate. A slow trickle of
-# bytes gains practically nothing.
-EXTRA_MS_PER_BYTE = 2 * 1000.0 / 64000.0
 SWEEP_INTERVAL_MS = 200.0  # between two scans for connections whose time is up
 
 # Connections closed at once at the limit of clients, or more while more clients wait; also the size of the batches in
@@ -47,15 +39,6 @@
 # turn of the loop takes less.
 MIN_QUEUEING_MS = 20.0
 SEND_TIMEOUT_MS = 10000.0  # a client must have read its answer by then
-STALL_TIMEOUT_MS = 4000.0  # a streamed answer must make progress within this time, from the server and to the client
-# What the kernel may hold of a streamed answer. It reports room for more once a third of that is sent, which a client
-# that reads slowly but steadily has to reach within STALL_TIMEOUT_MS.
-STREAM_SEND_BUFFER_BYTES = 131072
-# A streamed answer may take STREAM_TIMEOUT_MS plus the time that its bytes take at 4 kB/s, so that an answer that
-# trickles in endlessly is cut off.
-STREAM_TIMEOUT_MS = 30000.0
-STREAM_MS_PER_BYTE = 1000.0 / 4000.0
-
 LINGER_TIMEOUT_MS = 400.0  # for a client to read an answer that was sent before its request was complete
 CROWDED_LINGER_TIMEOUT_MS = 50.0  # the same while other clients wait for the descriptor
 # Both after the request to stop: new clients still arrive for up to 400 ms.
@@ -103,52 +86,6 @@
     timed_out: bool = False
 
 
-class Client:
-    """One client connection."""
-
-    def __init__(self, stream: Stream, check_head: Callable[[HttpRequest], object]) -> None:
-        self.stream, self.http = stream, HttpServerConnection(stream, True, check_head)
-        # A request is in flight; any request was answered; the first byte of the next request has arrived.
-        self.busy = self.answered = self.request_started = False
-        self.evicted = False  # the next answer is the last one: others wait for the descriptor
-        self.idle_since = now_ms()  # when it connected, or was last answered
-        self.expires_at = self.idle_since + FIRST_REQUEST_TIMEOUT_MS  # closed then, unless a request is complete
-        self.bytes_before_request = 0  # bytes received on the stream before the current request
-        # Bytes received on the stream when last checked, and the time at which that number last grew.
-        self.bytes_seen, self.progress_at = 0, self.idle_since
-
-    def overdue(self) -> bool:
-        """Return whether a started request has run out of time: received bytes extend it, a stall ends it."""
-        now, received = now_ms(), self.stream.arrived_bytes()
-        if received != self.bytes_seen:
-            self.bytes_seen, self.progress_at = received, now
-        extended = self.expires_at + (received - self.bytes_before_request) * EXTRA_MS_PER_BYTE
-        return now >= min(extended, max(self.expires_at, self.progress_at + STALL_TIMEOUT_MS))
-
-    @property
-    def gone(self) -> bool:
-        """Return whether the client has closed the connection."""
-        return self.stream.is_peer_closed()
-
-    def begin_request(self) -> None:
-        """Watch for a close even behind a flood of unread bytes: the request must not be attempted after it."""
-        self.busy = True
-        self.stream.max_unread, self.stream.drop_excess = MAX_UNREAD_BYTES, True
-
-    def look_behind_request(self) -> None:
-        """Read what came behind the request as far as a close: a flood must not hide that the client has left."""
-        received = -1
-        while self.stream.incoming and not self.stream.ended and self.stream.received > received:
-            received = self.stream.received
-            self.stream.poll()
-
-    def end_request(self) -> None:
-        """Wait for the next request; what the client sends beyond a read waits in the kernel until then."""
-        self.busy, self.answered, self.request_started, self.idle_since = False, True, False, now_ms()
-        self.expires_at, self.bytes_before_request = self.idle_since + IDLE_TIMEOUT_MS, self.stream.received
-        self.stream.max_unread, self.stream.drop_excess = READ_CHUNK_BYTES, False
-
-
 class Listener:
     """Accepts clients on a listening socket and serves their requests."""
 
@@ -314,7 +251,7 @@
             return False
         answer = outcome.answer
         if isinstance(answer, Served) and isinstance(answer.reply, StreamingResponse):
-            keep_alive = yield from self.stream_answer(client, answer.reply, outcome.last)
+            keep_alive = yield from relay_answer(self.loop, client, answer.reply, outcome.last)
         else:
             keep_alive = self.send_answer(client, answer, outcome.last)
         timed_out = outcome.timed_out
@@ -424,9 +361,7 @@
                 continue
             started, now = client.http.request_started, now_ms()
             if started and not client.request_started:
-                client.request_started = True
-                if client.answered:
-                    client.expires_at = now + REQUEST_TIMEOUT_MS
+                client.start_request(now)
             if client.overdue() if started else now >= client.expires_at or self.closing_idle:
                 if started:
                     return HttpError(408, "request did not come whole")
@@ -444,56 +379,6 @@
         client.stream.max_unread, client.stream.drop_excess = self.loop.memory.bytes_per_stream, False
         body_rest.is_overdue = client.overdue
 
-    def stream_answer(self, client: Client, answer: StreamingResponse, last: bool) -> Steps[bool]:
-        """Forward an answer as it arrives, reading from the server only as fast as the client reads.
-
-        If the server sends nothing or the client reads nothing for STALL_TIMEOUT_MS, both connections are closed:
-        there is no other way to tell the client that the rest will not come.
-        """
-        answer.claimed = True
-        client.stream.limit_send_buffer(STREAM_SEND_BUFFER_BYTES)
-        source, wake = answer.source, self.loop.this_task().wake
-        source.stream.notify, source.stream.max_unread = wake, self.loop.memory.bytes_per_stream
-        content_type = answer.headers.get(b"content-type")
-        # Only successful answers are streamed: the status is the server's 200.
-        client.http.send_head(
-            answer.status, [(b"Content-Type", content_type)] if content_type else [], answer.length, last
-        )
-        data, complete, keep_alive, unsent = answer.first_bytes, False, False, 0
-        stalled_at, expires_at = now_ms() + STALL_TIMEOUT_MS, now_ms() + STREAM_TIMEOUT_MS
-        timer = self.loop.at(stalled_at, wake)
-        try:
-            while not client.gone:
-                if now_ms() >= timer.when:
-                    timer = self.loop.at(max(stalled_at, now_ms() + 1.0), wake)
-                progress = bool(data) or complete or len(client.stream.outgoing) < unsent
-                if data or complete:
-                    keep_alive = client.http.send_body(data, complete)
-                    if complete:
-                        return keep_alive
-                    expires_at += len(data) * STREAM_MS_PER_BYTE
-                    data = b""
-                if progress:
-                    stalled_at = now_ms() + STALL_TIMEOUT_MS
-                unsent = len(client.stream.outgoing)
-                if unsent < self.loop.memory.bytes_per_stream:
-                    part = source.read_body()
-                    if isinstance(part, HttpError):
-                        break
-                    data, complete = part
-                    if data or complete:
-                        continue
-                if now_ms() >= min(stalled_at, expires_at):
-                    break
-                yield
-            # Reset: an HTTP/1.0 client would take an orderly close for the end of the answer.
-            client.stream.abort()
-            return False
-        finally:
-            timer.cancel()
-            source.stream.max_unread = MAX_UNREAD_BYTES
-            answer.on_done(complete)
-
     def wait_until_sent(self, client: Client) -> Steps[None]:
         """Wait until the answer is written; a client that does not read it is dropped after SEND_TIMEOUT_MS."""
         until = now_ms() + SEND_TIMEOUT_MS
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from petrelhall.boxes.discovery import DiscoveryWatch
-from petrelhall.gateway import front
+from petrelhall.gateway import client as client_module
 from petrelhall.http import h1, reader
 from petrelhall.net.stream import READ_CHUNK_BYTES
 from tests.peers import build_request, build_response, format_address, open_listener, server_entry
@@ -99,7 +99,7 @@
         self.check_flood(build_request(), b"429")
 
     def test_requests_that_wait_for_their_turn_do_not_run_out_of_time(self) -> None:
-        self.patch(front, IDLE_TIMEOUT_MS=0.0, REQUEST_TIMEOUT_MS=0.0)
+        self.patch(client_module, IDLE_TIMEOUT_MS=0.0, REQUEST_TIMEOUT_MS=0.0)
         self.start_gateway()
         flood = self.client(HEALTH_REQUEST * PIPELINED_REQUESTS)
         answers = bytearray()
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -21,7 +21,8 @@
 from petrelhall.decide.interface import Ending, Started
 from petrelhall.decide.policy import Gateway
 from petrelhall.decide.settings import read_settings
-from petrelhall.gateway import front
+from petrelhall.gateway import client as client_module
+from petrelhall.gateway import front, relay
 from petrelhall.gateway.dispatch import Dispatcher
 from petrelhall.gateway.front import Listener
 from petrelhall.gateway.mgmt import MAX_MANAGEMENT_CONNECTIONS, Management
@@ -458,7 +459,7 @@
 
     # Guards against: a large answer to a client that reads slowly, and all the time, is reset (review/3).
     def test_a_client_that_reads_slowly_and_steadily_gets_a_large_answer_whole(self) -> None:
-        self.patch(front, STALL_TIMEOUT_MS=1000.0)
+        self.patch(relay, STALL_TIMEOUT_MS=1000.0)
         self.start_gateway()
         client = self.client(build_request())
         server = self.accept()
@@ -498,13 +499,15 @@
         return data
 
     def test_data_sent_while_an_idle_connection_is_closed_causes_no_reset(self) -> None:
-        self.patch(front, IDLE_TIMEOUT_MS=50.0, SWEEP_INTERVAL_MS=10.0)
+        self.patch(client_module, IDLE_TIMEOUT_MS=50.0)
+        self.patch(front, SWEEP_INTERVAL_MS=10.0)
         self.start_gateway()
         client = self.client(HEALTH_REQUEST)
         self.assertTrue(self.read_and_check_not_reset(client, b"ready\n").startswith(b"HTTP/1.1 200"))
 
     def test_data_sent_while_a_408_is_written_does_not_destroy_it_by_a_reset(self) -> None:
-        self.patch(front, FIRST_REQUEST_TIMEOUT_MS=50.0, SWEEP_INTERVAL_MS=10.0)
+        self.patch(client_module, FIRST_REQUEST_TIMEOUT_MS=50.0)
+        self.patch(front, SWEEP_INTERVAL_MS=10.0)
         self.start_gateway()
         self.assertTrue(self.read_and_check_not_reset(self.client(build_request()[:40])).startswith(b"HTTP/1.1 408"))
 
@@ -549,7 +552,7 @@
         self.assertLessEqual(max_lingering, 20)
 
     def test_a_response_that_trickles_endlessly_is_aborted_after_the_stream_timeout(self) -> None:
-        self.patch(front, STREAM_TIMEOUT_MS=200.0, STREAM_MS_PER_BYTE=0.0)
+        self.patch(relay, STREAM_TIMEOUT_MS=200.0, STREAM_MS_PER_BYTE=0.0)
         self.start_gateway()
         client = self.client(build_request())
         server = self.accept()
