--- a/petrelhall/decide/state.py
+++ b/petrelhall/decide/state.py
@@ -22,6 +22,8 @@
 FORGET_BATCH_SHARE = 0.02
 # Fewest customers that are compared for that.
 FORGET_MIN_SAMPLE = 8
+# Of this gateway's ceilings, for each of the two processes of an upgrade.
+UPGRADE_CEILING_PART = 0.5
 
 
 class OwnedQuota(Protocol):
@@ -470,11 +472,11 @@
         return part * customer.even_share * customer.plan.ceiling_rate * unseen_s
 
     def give_away_ceilings(self) -> None:
-        """Leave half of what this process may spend of ceilings to another one, which holds a copy of this state."""
-        self.ceiling_part /= 2.0
+        """Leave a part of what this process may spend of ceilings to another one, which holds a copy of this state."""
+        self.ceiling_part *= UPGRADE_CEILING_PART
         for customer in self.customers.values():
             # What is overdrawn is owed by both: neither may spend before it is repaid.
-            customer.ceiling_bucket = min(customer.ceiling_bucket, customer.ceiling_bucket / 2.0)
+            customer.ceiling_bucket = min(customer.ceiling_bucket, UPGRADE_CEILING_PART * customer.ceiling_bucket)
 
 
 def decay(value: float, rest: float, half_lives: float) -> float:
--- a/petrelhall/gateway/program.py
+++ b/petrelhall/gateway/program.py
@@ -19,6 +19,7 @@
 from petrelhall.decide import snapshot
 from petrelhall.decide.policy import Gateway
 from petrelhall.decide.replan import replan
+from petrelhall.decide.state import UPGRADE_CEILING_PART
 from petrelhall.gateway.config import Config, ConfigError, load
 from petrelhall.gateway.counter import CounterClient
 from petrelhall.gateway.dispatch import Dispatcher
@@ -50,7 +51,6 @@
 RESERVED_DESCRIPTORS = 40  # for everything but client and server connections, with some spare
 SHUTDOWN_MARGIN_MS = 2000.0  # after the last request's deadline, before clients without a request are left
 SHUTDOWN_CHECK_INTERVAL_MS = 100.0  # from then on, between two checks for clients that still get an answer
-UPGRADE_CEILING_PART = 0.5  # of this gateway's ceilings, for each of the two processes of an upgrade
 SERVER_LIST_KEY = "list"  # of the snapshot: discovery's list, in its form
 GC_THRESHOLD_OBJECTS = 20000  # net container allocations between two runs of the cycle collector
 CLIENT_SHARE = 0.6  # of the descriptors that are not reserved; server connections get the rest
